Close peers whose request has not come whole within 3 s of connecting

The listener gave a head, a body and an idle connection 60 s each.

A connection without a whole head is now closed after 2.2 s (which also ends one that idles between requests, as the terms allow after 2 s), and a body has until 2.6 s after the connecting, or after its head on a used connection.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -20,14 +20,19 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 /// How long after SIGTERM clients are still accepted: the front goes on for a moment.
 const LINGER: Duration = Duration::from_millis(550);
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
-/// A head or body that takes longer to arrive is given up.
-const READ_TIMEOUT: Duration = Duration::from_secs(60);
+/// A connection that has sent no whole head for so long is closed: a peer that says nothing is owed
+/// an end within 3 s of connecting, and one between requests may be closed after 2 s.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
+/// A first request that has not come whole by then, from the connecting, is given up, and so is the
+/// body of a later one, from its head.
+const WHOLE_TIMEOUT: Duration = Duration::from_millis(2600);
 /// So much of a body that is too large is read, so that the client gets to see the answer.
 const MOST_DISCARDED: usize = 16 * MOST_BODY;
 /// Largest head of a request.
@@ -144,8 +149,10 @@
         tokio::task::spawn_local(async move {
             let server = &counted.0;
             let mut closing = server.closing.subscribe();
-            let service = service_fn(|request| async move {
-                let mut reply = server.reply(request, full).await;
+            let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
+            let service = service_fn(|request| async {
+                let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
+                let mut reply = server.reply(request, full, whole_by).await;
                 if full || server.stopping.get() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -153,7 +160,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(READ_TIMEOUT)
+                .header_read_timeout(HEAD_TIMEOUT)
                 .max_buf_size(MOST_HEAD)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = std::pin::pin!(connection);
@@ -167,7 +174,7 @@
         });
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, full: bool) -> Reply {
+    async fn reply(&self, request: hyper::Request<Incoming>, full: bool, whole_by: Instant) -> Reply {
         if request.uri().path() == "/-/ready" {
             return match self.engine.listed() && !self.stopping.get() {
                 true => plain(StatusCode::OK, "ready\n"),
@@ -175,7 +182,7 @@
             };
         }
         let (head, body) = request.into_parts();
-        let body = match tokio::time::timeout(READ_TIMEOUT, read(body)).await {
+        let body = match tokio::time::timeout_at(whole_by, read(body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(problem)) => return problem,
             Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,92 @@
+//! Peers of the listener that send nothing, or no whole request, on loopback sockets and in
+//! paused time: waits take none, and how long they would have taken is exact.
+
+use gannetproxy::proxy::config::WireSettings;
+use gannetproxy::proxy::engine::Engine;
+use gannetproxy::proxy::server::{self, Server};
+use gannetproxy::{Class, Settings};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// What the terms allow a peer to be left without an error or a close.
+const OWED: Duration = Duration::from_secs(3);
+
+/// A server of one class without backends, and what is done with its address.
+async fn with_server<F: Future>(connections: usize, play: impl FnOnce(SocketAddr) -> F) -> F::Output {
+    let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
+    let wire = WireSettings {
+        classes: vec!["look".into()],
+        tenants: vec!["acme".into()],
+        max_open: 1000,
+        ..WireSettings::default()
+    };
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let engine = Engine::start(settings.clone(), &wire, 1, 8);
+            let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let address = listener.local_addr().unwrap();
+            let server = Server::new(engine, settings, wire, connections);
+            tokio::task::spawn_local(server.run(listener, std::future::pending()));
+            play(address).await
+        })
+        .await
+}
+
+/// Connects, writes, and reads to the end; tells what came and how long that took.
+async fn peer(address: SocketAddr, text: &[u8]) -> (Vec<u8>, Duration) {
+    let start = Instant::now();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text).await.unwrap();
+    let mut got = Vec::new();
+    let _ = stream.read_to_end(&mut got).await; // a reset is an end too
+    (got, start.elapsed())
+}
+
+const HEAD: &str = "GET /api HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: look\r\n";
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_sends_no_whole_request_hears_so_in_time() {
+    let body = format!("{HEAD}Content-Length: 100\r\n\r\nno more");
+    for text in ["", "GET /api HT", HEAD, &body] {
+        let (_, took) = with_server(8, |address| peer(address, text.as_bytes())).await;
+        assert!(took <= OWED, "{text:?}: {took:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_dribbles_is_given_up_in_time_all_the_same() {
+    let took = with_server(8, |address| async move {
+        let start = Instant::now();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let text = format!("{HEAD}Content-Length: 1000\r\n\r\n{}", "x".repeat(1000));
+        for byte in text.bytes() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            if stream.write_all(&[byte]).await.is_err() {
+                break;
+            }
+        }
+        let _ = stream.read_to_end(&mut Vec::new()).await;
+        start.elapsed()
+    });
+    let took = took.await;
+    assert!(took <= OWED, "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_peers_do_not_keep_a_client_out() {
+    let status = with_server(2, |address| async move {
+        let mut silent = Vec::new();
+        for _ in 0..8 {
+            silent.push(TcpStream::connect(address).await.unwrap());
+        }
+        peer(address, b"GET /-/ready HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n").await
+    });
+    let (got, took) = status.await;
+    assert!(got.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&got));
+    assert!(took <= 5 * OWED, "{took:?}");
+}
