Move to the discovery that the file names on SIGHUP, instead of dying of it

A file that cannot be read or makes no sense is logged and changes nothing.

The test sends the signal to the real program; before the change it finds the process dead.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! The real proxy: starts it, and stops it on SIGTERM.
+//! The real proxy: starts it, moves it to another discovery on SIGHUP, and stops it on SIGTERM.
 
 #![forbid(unsafe_code)]
 
@@ -15,13 +15,25 @@
 
 async fn run(config: Config) -> std::io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
     let each = config.sockets.saturating_sub(OWN_DESCRIPTORS).min(1024) / 5;
     let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, 2 * each);
-    let _discovery =
+    let discovery =
         Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
+    tokio::task::spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match Config::moved_discovery() {
+                Ok(address) => {
+                    eprintln!("dewpier: discovery is at {address}");
+                    discovery.move_to(address);
+                }
+                Err(error) => eprintln!("dewpier: not reloaded: {error}"),
+            }
+        }
+    });
     let server = Server::new(engine, config.settings, config.wire, 2 * each);
     server.run(listener, async move { stop.recv().await.unwrap_or_default() }).await;
     Ok(())
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -3,6 +3,7 @@
 use super::discovery::{self, RawList};
 use crate::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -90,6 +91,12 @@
     settings: RawSettings,
 }
 
+/// What is taken from a file that replaces the first one.
+#[derive(Deserialize)]
+struct Moved {
+    discovery: String,
+}
+
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
@@ -213,6 +220,18 @@
     ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
 }
 
+fn var(name: &'static str) -> Result<String, ConfigError> {
+    std::env::var(name).map_err(|_| ConfigError::Unset(name))
+}
+
+/// Reads the file that the environment names.
+fn read<T: DeserializeOwned>() -> Result<T, ConfigError> {
+    let path = var("RELAY_CONFIG")?;
+    let text =
+        std::fs::read_to_string(&path).map_err(|error| ConfigError::Read { path: path.clone(), error })?;
+    serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })
+}
+
 /// A span of time that fits a `Duration`.
 fn span(name: &str, seconds: f64) -> Result<Duration, ConfigError> {
     Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
@@ -221,11 +240,7 @@
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let var = |name: &'static str| std::env::var(name).map_err(|_| ConfigError::Unset(name));
-        let path = var("RELAY_CONFIG")?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|error| ConfigError::Read { path: path.clone(), error })?;
-        let file: File = serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })?;
+        let file: File = read()?;
         let address = |name: &'static str, in_file: &Option<String>| {
             let text = var(name).or_else(|unset| in_file.clone().ok_or(unset))?;
             text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
@@ -235,6 +250,13 @@
         Self::from_file(file, listen, discovery)
     }
 
+    /// Where the file now says that discovery is: it may be replaced while the proxy runs, and the
+    /// environment still names the first address.
+    pub fn moved_discovery() -> Result<SocketAddr, ConfigError> {
+        let Moved { discovery } = read()?;
+        discovery.parse().map_err(|_| bad("discovery", "address:port", discovery))
+    }
+
     fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::sync::Notify;
 
 /// Longest wait for news that a watch call may ask for.
 const MOST_WATCH: Duration = Duration::from_secs(60);
@@ -150,7 +151,9 @@
 
 /// Keeps the engine's list fresh.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    /// The address is a new one.
+    moved: Notify,
     engine: Rc<Engine>,
     names: RefCell<Translation>,
     generation: Cell<u64>,
@@ -173,7 +176,8 @@
         let zones = wire.zones.clone();
         let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
         let discovery = Rc::new(Self {
-            address,
+            address: Cell::new(address),
+            moved: Notify::new(),
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
             watching: Cell::new(false),
@@ -190,6 +194,14 @@
         discovery
     }
 
+    /// Discovery is at `address` from now on. A call that is out is made again there: the old
+    /// address may have nothing more to tell.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
+    }
+
     /// Begins a watch, if none is on, or ends it.
     pub fn watch(self: &Rc<Self>, on: bool) {
         if on && !self.watching.replace(true) {
@@ -218,7 +230,14 @@
         while self.watching.get() {
             let (since, wait) = (self.generation.get(), self.wait.as_millis());
             let path = format!("/api/targets?since={since}&timeout_ms={wait}");
-            let answer = self.call(&path, self.wait + PATIENCE, &mut peer).await;
+            let answer = tokio::select! {
+                biased; // an answer that has come is taken in
+                answer = self.call(&path, self.wait + PATIENCE, &mut peer) => answer,
+                () = self.moved.notified() => {
+                    (peer, backoff) = (None, BACKOFF[0]);
+                    continue;
+                }
+            };
             if !self.watching.get() {
                 return;
             }
@@ -232,7 +251,10 @@
             if good {
                 backoff = BACKOFF[0];
             } else {
-                tokio::time::sleep(backoff).await;
+                tokio::select! {
+                    () = tokio::time::sleep(backoff) => {}
+                    () = self.moved.notified() => backoff = BACKOFF[0],
+                }
                 backoff = (2 * backoff).min(BACKOFF[1]);
             }
         }
@@ -261,9 +283,9 @@
         let called = tokio::time::timeout(wait, async {
             let mut peer = match kept.take().and_then(Peer::checked) {
                 Some(peer) => peer,
-                None => backend::connect(self.address, PATIENCE).await.map_err(CallError::Connect)?,
+                None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
             };
-            let request = Request::get(path).header("host", self.address.to_string());
+            let request = Request::get(path).header("host", self.address.get().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -174,14 +175,20 @@
 
 impl Proxy {
     fn start(settings: &Value, known: &Value, discovery: SocketAddr) -> Self {
-        let mut child = command(&config(settings, known), discovery).stderr(Stdio::piped()).spawn().unwrap();
+        Self::start_with_file(settings, known, discovery).0
+    }
+
+    /// The same, and the path of its configuration.
+    fn start_with_file(settings: &Value, known: &Value, discovery: SocketAddr) -> (Self, PathBuf) {
+        let (mut command, path) = command(&config(settings, known), discovery);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().strip_prefix("dewpier: listening on ").expect(&line).parse().unwrap();
         // Its log is read on, lest it block.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, address }
+        (Self { child, address }, path)
     }
 
     /// One that knows these backends, with plain settings.
@@ -223,15 +230,16 @@
     .to_string()
 }
 
-fn command(config: &str, discovery: SocketAddr) -> Command {
+/// The program's command, and the path of the configuration that it is given.
+fn command(config: &str, discovery: SocketAddr) -> (Command, PathBuf) {
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let name = format!("{}-{}.json", std::process::id(), number);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
-    command.env("RELAY_CONFIG", path).env("RELAY_LISTEN", "127.0.0.1:0");
+    command.env("RELAY_CONFIG", &path).env("RELAY_LISTEN", "127.0.0.1:0");
     command.env("RELAY_DISCOVERY", discovery.to_string());
-    command
+    (command, path)
 }
 
 fn ask(stream: &mut BufReader<TcpStream>, text: &str) -> Message {
@@ -309,7 +317,7 @@
     lacking["rules"].as_object_mut().unwrap().remove("cold");
     let known = list(1, true, &[]);
     for text in ["{".to_string(), config(&lacking, &known)] {
-        let output = command(&text, quiet().address).output().unwrap();
+        let output = command(&text, quiet().address).0.output().unwrap();
         let told = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success());
         assert!(told.starts_with("dewpier: ") && told.lines().count() == 1, "{told}");
@@ -498,3 +506,31 @@
     assert!(discovery.requests.lock().unwrap()[3].first.contains("since=7&timeout_ms=1000"));
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
 }
+
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_that_the_file_now_names() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let first = quiet();
+    let news = list(2, false, &[entry("s-0", old.address, "DELETED"), entry("s-1", new.address, "SERVING")]);
+    let told = news.to_string();
+    let second = Played::new(move |before, _| match before {
+        0 => Play::Answer(answer("200 OK", &told)),
+        _ => Play::Silence(channel().0),
+    });
+    let known = known(&[&old]);
+    let (mut proxy, path) = Proxy::start_with_file(&settings(), &known, first.address);
+    wait_for("watch", || first.count() == 1);
+    // A file that makes no sense changes nothing, and neither does the signal.
+    std::fs::write(&path, "{").unwrap();
+    proxy.signal("-HUP");
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"old");
+    let mut moved: Value = serde_json::from_str(&config(&settings(), &known)).unwrap();
+    moved["discovery"] = json!(second.address.to_string());
+    std::fs::write(&path, moved.to_string()).unwrap();
+    proxy.signal("-HUP");
+    let asked_for_more = |m: &Message| m.first.contains("since=2&");
+    wait_for("list", || second.requests.lock().unwrap().iter().any(asked_for_more));
+    assert!(second.requests.lock().unwrap()[0].first.contains("since=1&"));
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
+    assert!(proxy.child.try_wait().unwrap().is_none());
+}
