Bound the mean of the normal answer times, not each answer time

The entry sheds when more calls are out than the admitted rate and the normal answer time explain (Little's law).

The answer times now count whole and the bound is put on the mean, which still keeps a balancer that starts in a jam from learning it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 const T1_SPREAD: f64 = 0.1;
 /// Weight of a sample in the normal answer time of a class, once there are many.
 const NORMAL_WEIGHT: f64 = 0.02;
-/// No answer time beyond this part of the aim is normal: one that starts in a jam would learn it.
+/// A mean beyond this part of the aim is a jam's and not normal; single answer times count whole.
 const NORMAL_REACH: f64 = 0.25;
 /// Part of that weight under pressure: a T1 that followed the waits of a jam would hide it.
 const PRESSED_WEIGHT: f64 = 0.05;
@@ -133,12 +133,12 @@
 }
 
 impl Normal {
-    fn add(&mut self, took: Time, calm: bool) {
+    fn add(&mut self, took: Time, most: Time, calm: bool) {
         self.samples += 1.0;
         let pressed = !calm && self.samples > 1.0 / NORMAL_WEIGHT;
         let weight = NORMAL_WEIGHT.max(1.0 / self.samples) * if pressed { PRESSED_WEIGHT } else { 1.0 };
         self.deviation += weight * ((took - self.mean).abs() - self.deviation);
-        self.mean += weight * (took - self.mean);
+        self.mean = (self.mean + weight * (took - self.mean)).min(most);
     }
 }
 
@@ -712,9 +712,9 @@
                         self.served.add(self.now, self.memory);
                         self.learn(backend, class, ended.took, false);
                         let calm = self.pressure() <= 0.0;
-                        let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
-                        self.normal[class].add(took, calm);
-                        self.wait.add(took, calm);
+                        let most = NORMAL_REACH * self.settings.classes[class].aim;
+                        self.normal[class].add(ended.took, most, calm);
+                        self.wait.add(ended.took, most, calm);
                     }
                     Cancelled | NeverSent => {}
                     _ => self.learn(backend, class, ended.took, true),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -622,6 +622,30 @@
     }
 }
 
+#[test]
+fn a_long_tail_of_answer_times_is_no_jam() {
+    // As many calls are out as the rate and the mean answer time explain, most of which is made
+    // by one answer in ten that takes nine times as long.
+    let mut b = Bench::new(Settings { tier: 0, ..safe() }, &fleet(20));
+    let mut out: Vec<(Time, u64, u32, Time)> = Vec::new();
+    let mut refusals = 0;
+    for id in 0..3000_u64 {
+        let now = id as f64 * 0.01;
+        while let Some(next) = out.iter().position(|(at, ..)| *at <= now) {
+            let (at, done, to, took) = out.remove(next);
+            b.run_to(at.max(b.now));
+            let actions = b.end(done, 0, to, Outcome::Served, took);
+            b.cancelled(&actions);
+        }
+        b.run_to(now);
+        let took = if id % 10 == 9 { 0.9 } else { 0.1 };
+        let actions = b.request(id);
+        refusals += usize::from(id >= 1000 && refused(&actions, id));
+        out.extend(sends(&actions).iter().map(|(id, to)| (now + took, *id, *to, took)));
+    }
+    assert_eq!(refusals, 0);
+}
+
 #[test]
 fn least_worth_and_over_share_go_first() {
     let mut settings = safe();
