Tell the client when to return on every refusal, not only at admission

A request refused later than at admission (a failed or timed-out call given up, a call without a usable backend), for want of open requests or of client places got a 503 without Retry-After, although the settings allow it (up to 2 s). Such clients came back at once or after a wait of their own. The answer itself still goes out at once; it now says T1, or 1 s where the proxy has no room.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,8 +16,7 @@
 const P_MIN: f64 = 0.1;
 /// Ratio of the thresholds between which p falls: under the paper's 3, as copies cost whole work.
 const ALPHA: f64 = 1.5;
-/// Least lower threshold, in calls. Guards against quiet balancers, where rate x T1 is under
-/// one and a waiting call would cut its own chance.
+/// Least lower threshold: at a quiet balancer rate x T1 is under one, and a call cuts its own chance.
 const FLOOR: f64 = 1.0;
 /// Memory of the send rate, in T1s of the longest class: the paper's weight, slots of T1 / 25.
 const RATE_MEMORY: f64 = 20.0;
@@ -359,8 +358,7 @@
         let ahead = lane.and_then(|key| self.lanes.get(&key)).map_or(0, |lane| lane.queue.len());
         let needed = HOPELESS * self.normal[request.class].mean * (ahead + 1) as f64;
         if patience <= needed || !self.admits(request.class, over) {
-            let retry_after = Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0);
-            return actions.push(Action::Refuse { id: request.id, retry_after });
+            return actions.push(Action::Refuse { id: request.id, retry_after: self.come_back(t1) });
         }
         if let Some((_, left)) = request.tenant.and_then(|t| self.shares.get_mut(t)) {
             left.room = (left.room - 1.0).max(0.0);
@@ -540,8 +538,7 @@
             return self.advance(key, actions);
         }
         if kind == LAST {
-            // Its time is up. The time-out of its attempt finds the call gone, so that a hung
-            // backend has to be noticed here.
+            // The time-out of its attempt finds the call gone: a hung backend has to be noticed here.
             self.learn_waiting(slot, true);
             return self.finish_unserved(slot, actions);
         }
@@ -632,8 +629,7 @@
             }
             pool.retain(|b| self.usable(*b));
         }
-        // Those with more than the mean load are left out of the draw: slow machines would be
-        // crowded whenever both drawn are slow.
+        // None above the mean load is drawn: slow machines would be crowded when both drawn are slow.
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
         pool.retain(|b| self.load(*b) <= mean * (1.0 + f64::EPSILON * 16.0));
         let one = pool.swap_remove(self.draw(pool.len())?);
@@ -682,8 +678,7 @@
         let b = &mut self.backends[backend];
         let ramp = from + (1.0 - from) * ((self.now - started) / cold).clamp(0.0, 1.0);
         let allowed = rate * ramp * multiple;
-        // What was saved must not come at once from many balancers: parts of a request are drawn
-        // lots for and then gone, not kept until they make a whole.
+        // Parts of a request are drawn lots for and not saved, lest many balancers' come at once.
         let part = b.cold.fill(self.now, allowed, allowed * self.settings.tip_after);
         b.cold.room = if part >= 1.0 { part } else { f64::from(self.rng.random::<f64>() < part) };
         b.cold.room >= 1.0
@@ -763,12 +758,17 @@
         };
         let id = call.id;
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: None },
+            true => Action::Refuse { id, retry_after: self.come_back(call.t1) },
             false => Action::Fail { id },
         });
         self.finish(slot, None, actions);
     }
 
+    /// How long a refused client is asked to stay away, where clients are told.
+    fn come_back(&self, t1: Time) -> Option<Time> {
+        Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0)
+    }
+
     /// Drops a call, and cancels its attempts but for the one that answered.
     fn finish(&mut self, slot: Slot, keep: Option<usize>, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(slot) else {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -40,6 +40,9 @@
 /// Connections beyond the limit that are answered with a refusal, as a part of the limit.
 const OVERFLOW: usize = 8;
 
+/// How long a client is asked to stay away from a proxy that has no room for it, in seconds.
+const FULL_WAIT: Time = 1.0;
+
 type Reply = Response<Full<Bytes>>;
 
 /// Answers clients.
@@ -192,7 +195,7 @@
             Err(problem) => return plain(StatusCode::BAD_REQUEST, problem),
         };
         if full {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
+            return self.refusal("too many connections\n", None);
         }
         let id = request.id;
         let headers = onward(head.headers);
@@ -211,17 +214,23 @@
                 }
                 reply
             }
-            Ok(Answer::Refused(wait)) => {
-                let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
-                if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
-                    reply.headers_mut().insert(RETRY_AFTER, wait);
-                }
-                reply
-            }
+            Ok(Answer::Refused(wait)) => self.refusal("refused, try again\n", wait),
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
 
+    /// A refusal, and when to return: as the module says, else once there may be room, where
+    /// clients are told at all.
+    fn refusal(&self, text: &'static str, wait: Option<Time>) -> Reply {
+        let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+        let room = Some(FULL_WAIT.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0);
+        let wait = wait.or(room).and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok());
+        if let Some(wait) = wait {
+            reply.headers_mut().insert(RETRY_AFTER, wait);
+        }
+        reply
+    }
+
     /// What the module is told of a request, or what is wrong with it.
     fn request(&self, headers: &HeaderMap) -> Result<Request, &'static str> {
         let id = header(headers, "x-txn").filter(|id| id.len() == 16);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -215,6 +215,16 @@
     assert!(seen.iter().any(|(t, a)| refused(std::slice::from_ref(a), 1) && (*t - 1.0).abs() < 0.01));
 }
 
+#[test]
+fn a_refusal_after_a_failed_attempt_says_when_to_return() {
+    let mut settings = safe();
+    (settings.max_attempts, settings.max_retry_after) = (1, 0.3);
+    let mut b = Bench::new(settings, &fleet(4));
+    let (_, to) = sends(&b.request(1))[0];
+    let actions = b.end(1, 0, to, Outcome::Error, 0.1);
+    assert_eq!(actions, [Action::Refuse { id: RequestId(1), retry_after: Some(0.3) }]);
+}
+
 #[test]
 fn no_time_left_and_no_backend_are_refused() {
     let mut b = Bench::new(safe(), &fleet(3));
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -338,7 +338,27 @@
     let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let known = list(1, true, &[entry("s-1", closed, "SERVING")]);
     let proxy = Proxy::start(&settings(), &known, quiet().address);
-    assert_eq!(proxy.ask(&request("order", 1000)).status(), 503);
+    let refusal = proxy.ask(&request("order", 1000));
+    assert_eq!(refusal.status(), 503);
+    let wait: f64 = refusal.header("retry-after").expect("when to return").parse().unwrap();
+    assert!(wait > 0.0 && wait <= 1.0, "{wait}");
+}
+
+#[test]
+fn a_client_that_finds_no_room_is_told_when_to_return_where_that_is_allowed() {
+    for (allowed, told) in [(true, Some("0.500")), (false, None)] {
+        let backend = Played::new(|_, _| Play::Silence(channel().0));
+        let mut settings = settings();
+        settings["caps"]["max-open"] = json!(1);
+        settings["caps"]["max-retry-after"] = json!(0.5);
+        settings["caps"]["retry-after"] = json!(allowed);
+        let proxy = Proxy::start(&settings, &known(&[&backend]), quiet().address);
+        let mut first = proxy.connect();
+        first.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+        wait_for("attempt", || backend.count() == 1);
+        let refusal = proxy.ask(&request("order", 20_000));
+        assert_eq!((refusal.status(), refusal.header("retry-after")), (503, told));
+    }
 }
 
 #[test]
