Let the connection that has rested longest make room for a client

At the limit of client connections every new one was answered with 503 `too many connections`, however long the others had rested.

A new connection at the limit now closes the one without a request that has rested longest; one in the middle of a head has 50 ms more. Only when every connection has a request in hand is the new one refused.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,14 +13,23 @@
 /// Descriptors kept for what is neither a client nor a backend.
 const OWN_DESCRIPTORS: usize = 48;
 
+/// How many connections there may be from clients and to backends. Clients hold up to a third of all
+/// descriptors for their requests, and others connect too, so that theirs are more; a few beyond
+/// their limit are taken to be refused.
+fn shared_out(sockets: usize) -> (usize, usize) {
+    let shared = sockets.saturating_sub(OWN_DESCRIPTORS).min(1024);
+    let backends = shared * 2 / 5;
+    ((shared - backends) * server::OVERFLOW / (server::OVERFLOW + 1), backends)
+}
+
 async fn run(config: Config) -> std::io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
-    let each = config.sockets.saturating_sub(OWN_DESCRIPTORS).min(1024) / 5;
-    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, 2 * each);
+    let (clients, backends) = shared_out(config.sockets);
+    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, backends);
     let discovery =
         Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
     tokio::task::spawn_local(async move {
@@ -34,7 +43,7 @@
             }
         }
     });
-    let server = Server::new(engine, config.settings, config.wire, 2 * each);
+    let server = Server::new(engine, config.settings, config.wire, clients);
     server.run(listener, async move { stop.recv().await.unwrap_or_default() }).await;
     Ok(())
 }
@@ -56,3 +65,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clients_have_room_beside_a_third_of_the_descriptors_and_no_limit_is_passed() {
+        for sockets in [256, 384, 512, 1024] {
+            let (clients, backends) = shared_out(sockets);
+            let taken = clients + clients / server::OVERFLOW;
+            assert!(clients > sockets / 3 + 16, "{clients} of {sockets}");
+            assert!(taken + backends + OWN_DESCRIPTORS <= sockets, "{taken} {backends} of {sockets}");
+        }
+    }
+}
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -13,7 +13,8 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -38,7 +39,7 @@
 /// Largest head of a request.
 const MOST_HEAD: usize = 32 << 10;
 /// Connections beyond the limit that are answered with a refusal, as a part of the limit.
-const OVERFLOW: usize = 8;
+pub const OVERFLOW: usize = 8;
 
 /// How long a client is asked to stay away from a proxy that has no room for it, in seconds.
 const FULL_WAIT: Time = 1.0;
@@ -57,15 +58,50 @@
     connections: Cell<usize>,
     most: usize,
     closed: Notify,
+    /// The connections without a request in hand, the one that has rested longest first.
+    resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    rests: Cell<u64>,
 }
 
-/// Counts a connection while it is open.
-struct Counted(Rc<Server>);
+/// A connection's place among those that may be open.
+struct Place {
+    server: Rc<Server>,
+    /// Its key among the resting ones.
+    rest: Cell<u64>,
+    works: Cell<bool>,
+    /// It is to make room for another.
+    evicted: Rc<Notify>,
+}
+
+impl Place {
+    fn take(server: Rc<Server>) -> Self {
+        server.connections.set(server.connections.get() + 1);
+        let place = Self { server, rest: Cell::default(), works: Cell::default(), evicted: Rc::default() };
+        place.rest();
+        place
+    }
+
+    /// No request is in hand, from now on.
+    fn rest(&self) {
+        let Server { resting, rests, .. } = &*self.server;
+        self.works.set(false);
+        rests.set(rests.get() + 1);
+        self.rest.set(rests.get());
+        resting.borrow_mut().insert(rests.get(), self.evicted.clone());
+    }
+
+    /// A request is in hand.
+    fn work(&self) {
+        self.works.set(true);
+        self.server.resting.borrow_mut().remove(&self.rest.get());
+    }
+}
 
-impl Drop for Counted {
+impl Drop for Place {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-        self.0.closed.notify_one();
+        self.work();
+        self.server.connections.set(self.server.connections.get() - 1);
+        self.server.closed.notify_one();
     }
 }
 
@@ -100,6 +136,8 @@
             connections: Cell::new(0),
             most: connections,
             closed: Notify::new(),
+            resting: RefCell::default(),
+            rests: Cell::default(),
         })
     }
 
@@ -146,16 +184,18 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true); // it still works if not
-        self.connections.set(self.connections.get() + 1);
-        let full = self.connections.get() > self.most;
-        let counted = Counted(self.clone());
+        // One that rests makes room: whoever only keeps a connection must not keep a client out.
+        let full = self.connections.get() >= self.most && !self.evict();
+        let place = Place::take(self);
         tokio::task::spawn_local(async move {
-            let server = &counted.0;
+            let server = &place.server;
             let mut closing = server.closing.subscribe();
             let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
             let service = service_fn(|request| async {
                 let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
+                place.work();
                 let mut reply = server.reply(request, full, whole_by).await;
+                place.rest();
                 if full || server.stopping.get() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -167,16 +207,32 @@
                 .max_buf_size(MOST_HEAD)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = std::pin::pin!(connection);
-            tokio::select! {
+            let evicted = tokio::select! {
                 biased; // a request that has come is read before the connection is closed
                 _ = connection.as_mut() => return, // its end is no news: clients come and go
-                _ = closing.wait_for(|closing| *closing) => {}
-            }
+                _ = closing.wait_for(|closing| *closing) => false,
+                () = place.evicted.notified() => true,
+            };
             connection.as_mut().graceful_shutdown();
+            if evicted {
+                let ended = tokio::time::timeout(STEP, connection.as_mut()).await;
+                if ended.is_ok() || !place.works.get() {
+                    return; // nothing was sent on it, or no whole head in all that time
+                }
+            }
             let _ = connection.await;
         });
     }
 
+    /// Closes the connection that has rested longest; tells whether there was one.
+    fn evict(&self) -> bool {
+        let longest = self.resting.borrow_mut().pop_first();
+        longest.is_some_and(|(_, evicted)| {
+            evicted.notify_one();
+            true
+        })
+    }
+
     async fn reply(&self, request: hyper::Request<Incoming>, full: bool, whole_by: Instant) -> Reply {
         if request.uri().path() == "/-/ready" {
             return match self.engine.listed() && !self.stopping.get() {
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -77,6 +77,31 @@
     assert!(took <= OWED, "{took:?}");
 }
 
+/// Asks on a connection whether the server is ready; what comes, in lower case, empty at its end.
+async fn ask(stream: &mut TcpStream) -> String {
+    let _ = stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").await;
+    let mut got = Vec::new();
+    while !got.ends_with(b"ready\n") && stream.read_buf(&mut got).await.is_ok_and(|n| n > 0) {}
+    String::from_utf8_lossy(&got).to_lowercase()
+}
+
+#[tokio::test]
+async fn connections_that_rest_make_room_for_a_client() {
+    let answers = with_server(8, |address| async move {
+        let mut streams = Vec::new();
+        for _ in 0..9 {
+            streams.push(TcpStream::connect(address).await.unwrap());
+        }
+        // The first one has been let go for the last, and the second is as good as before.
+        let last = ask(&mut streams[8]).await;
+        [last, ask(&mut streams[1]).await, ask(&mut streams[0]).await]
+    })
+    .await;
+    let good = |answer: &String| answer.contains("not ready") && !answer.contains("connection: close");
+    assert_eq!(answers.each_ref().map(good), [true, true, false], "{answers:?}");
+    assert_eq!(answers[2], "");
+}
+
 #[tokio::test(start_paused = true)]
 async fn silent_peers_do_not_keep_a_client_out() {
     let status = with_server(2, |address| async move {
