Send what must not run twice on fresh connections where idle ones end early

PROTOCOL gives a limit after which a backend closes an idle connection at the latest; backends may do so sooner, and a request that crosses the close is a reset that may have run. Connections were used again up to 0.7 of the limit (21 s), for every class.

A backend that ends a resting connection by itself is now remembered, and an unsafe request goes there on a connection used in the last 100 ms, or on a new one. Repeatable requests use the others as before, and so does every request where no backend ends connections early.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -25,6 +25,10 @@
 /// Part of the idle limit of backends up to which a connection is used again: one that is used
 /// close to the limit crosses the backend's closing, and the request on it is lost.
 const REUSE_WITHIN: f64 = 0.7;
+/// A backend that has ended idle connections before that limit may do so just when a request goes
+/// out. One that must not run twice would be lost, and is sent there on a connection that was in use
+/// this recently, or on a new one.
+const FRESH: Duration = Duration::from_millis(100);
 
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
 /// so that dropping it ends both at once.
@@ -136,6 +140,8 @@
     last_send: Cell<Option<Time>>,
     /// Goes up when its connections are no longer to be kept.
     era: Cell<u64>,
+    /// It has ended connections that rested, before the limit.
+    ends_early: Cell<bool>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     reuse_within: Duration,
@@ -149,6 +155,7 @@
             idle: RefCell::default(),
             last_send: Cell::new(None),
             era: Cell::new(0),
+            ends_early: Cell::new(false),
             budget,
             connect_timeout,
             reuse_within: idle.mul_f64(REUSE_WITHIN),
@@ -180,8 +187,8 @@
     pub fn sweep(&self) {
         let fresh = |idle: Idle| {
             let Idle { peer, permit, since } = idle;
-            let peer = peer.checked().filter(|_| since.elapsed() < self.reuse_within)?;
-            Some(Idle { peer, permit, since })
+            (since.elapsed() < self.reuse_within).then_some(())?;
+            Some(Idle { peer: self.still_up(peer)?, permit, since })
         };
         let swept = self.idle.take().into_iter().filter_map(fresh).collect();
         self.idle.replace(swept);
@@ -200,15 +207,29 @@
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
 
-    /// An idle connection, the one used last, or a new one.
-    async fn peer(&self) -> Option<(Peer, Permit)> {
+    /// A connection that rested, unless the backend has ended it; that it does so is remembered.
+    fn still_up(&self, peer: Peer) -> Option<Peer> {
+        let peer = peer.checked();
+        self.ends_early.set(self.ends_early.get() || peer.is_none());
+        peer
+    }
+
+    /// An idle connection, the one used last, or a new one. `once`: for a request that must not
+    /// run twice.
+    async fn peer(&self, once: bool) -> Option<(Peer, Permit)> {
         loop {
             let Some(Idle { peer, permit, since }) = self.idle.borrow_mut().pop() else {
                 break;
             };
-            if since.elapsed() < self.reuse_within
-                && let Some(peer) = peer.checked()
+            let rested = since.elapsed();
+            if rested < self.reuse_within
+                && let Some(peer) = self.still_up(peer)
             {
+                if once && self.ends_early.get() && rested >= FRESH {
+                    // Kept for one that may be repeated; the others have rested for longer.
+                    self.idle.borrow_mut().push(Idle { peer, permit, since });
+                    break;
+                }
                 return Some((peer, permit));
             }
         }
@@ -251,7 +272,7 @@
     until: Time,
     written: Rc<Cell<bool>>,
 ) -> Done {
-    exchange(&endpoint, &clock, &written, || payload.request(until - clock.now())).await
+    exchange(&endpoint, &clock, &written, payload.once, || payload.request(until - clock.now())).await
 }
 
 /// Makes one probe of `path`.
@@ -264,7 +285,7 @@
     };
     let within = 4 * endpoint.connect_timeout;
     let written = Cell::new(false);
-    let probed = exchange(&endpoint, &clock, &written, request);
+    let probed = exchange(&endpoint, &clock, &written, false, request);
     tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
 }
 
@@ -272,11 +293,12 @@
     endpoint: &Endpoint,
     clock: &Clock,
     written: &Cell<bool>,
+    once: bool,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done {
     let era = endpoint.era.get();
     let (mut peer, permit, answer) = loop {
-        let Some((mut peer, permit)) = endpoint.peer().await else {
+        let Some((mut peer, permit)) = endpoint.peer(once).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
         // The news of a drain may have come while the connection was made.
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -71,6 +71,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// It must not run twice.
+    pub once: bool,
 }
 
 impl Payload {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -255,7 +255,8 @@
         }
         let id = request.id;
         let headers = onward(head.headers);
-        let payload = Payload { method: head.method, uri: head.uri, headers, body };
+        let once = self.settings.classes[request.class].effect == Effect::Unsafe;
+        let payload = Payload { method: head.method, uri: head.uri, headers, body, once };
         let Some(answer) = self.engine.request(request, payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -66,6 +66,8 @@
     Answer(String),
     /// Answers, then closes without having said so, and tells.
     AnswerAndClose(String, Sender<()>),
+    /// The same, but closes only when told to.
+    AnswerAndCloseLater(String, Arc<Mutex<Receiver<()>>>, Sender<()>),
     /// Closes without an answer.
     Close,
     /// Says nothing; tells when the other side ends the connection.
@@ -119,6 +121,13 @@
         };
         match play(before, &message) {
             Play::Answer(text) => drop(stream.get_mut().write_all(text.as_bytes())),
+            Play::AnswerAndCloseLater(text, told, closed) => {
+                let _ = stream.get_mut().write_all(text.as_bytes());
+                let _ = told.lock().unwrap().recv_timeout(LONG);
+                stream.get_mut().shutdown(Shutdown::Both).unwrap();
+                let _ = closed.send(());
+                return;
+            }
             Play::AnswerAndClose(text, closed) => {
                 let _ = stream.get_mut().write_all(text.as_bytes());
                 // Not by dropping it: a process that is just being started has a copy.
@@ -466,6 +475,48 @@
     assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
 }
 
+/// A request that may be sent `once`, or repeated.
+fn payload(once: bool) -> Payload {
+    Payload {
+        method: "POST".parse().unwrap(),
+        uri: "/api".parse().unwrap(),
+        headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        body: "body".into(),
+        once,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn where_idle_connections_end_early_what_must_not_run_twice_goes_on_fresh_ones() {
+    for early in [true, false] {
+        let ((close, told), (closed, end)) = (channel(), channel());
+        let told = Arc::new(Mutex::new(told));
+        let backend = Played::new(move |before, _| match before {
+            0 if early => Play::AnswerAndCloseLater(answer("200 OK", "hello"), told.clone(), closed.clone()),
+            _ => Play::Answer(answer("200 OK", "hello")),
+        });
+        let endpoint = std::rc::Rc::new(Endpoint::new(backend.address, Budget::new(4), LONG, LONG));
+        let sent = async |once, rested| {
+            tokio::time::sleep(Duration::from_millis(rested)).await;
+            let payload = payload(once).into();
+            let done = attempt(endpoint.clone(), payload, Clock::start(), 20.0, Default::default()).await;
+            assert_eq!(done.outcome, Outcome::Served);
+            backend.connections.load(Ordering::SeqCst)
+        };
+        assert_eq!(sent(true, 0).await, 1);
+        if early {
+            close.send(()).unwrap();
+            heard(&end);
+        }
+        let used = sent(false, 1).await;
+        assert_eq!(used, if early { 2 } else { 1 });
+        assert_eq!(sent(true, 50).await, used, "it was in use just now");
+        assert_eq!(sent(false, 500).await, used, "it may be repeated");
+        assert_eq!(sent(true, 500).await, if early { 3 } else { 1 });
+        assert_eq!(sent(false, 0).await, if early { 3 } else { 1 });
+    }
+}
+
 #[test]
 fn nothing_goes_out_on_a_connection_that_comes_up_after_the_grace() {
     let backend = Played::good("hello");
@@ -473,12 +524,7 @@
     let attempt = |last_send: Option<f64>| {
         let endpoint = Endpoint::new(backend.address, Budget::new(4), LONG, LONG);
         endpoint.update(backend.address, last_send);
-        let payload = Payload {
-            method: "POST".parse().unwrap(),
-            uri: "/api".parse().unwrap(),
-            headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
-            body: "body".into(),
-        };
+        let payload = payload(true);
         let attempted = attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, Default::default());
         runtime.block_on(attempted).outcome
     };
