Let the usual number of calls follow the backends in service

The entry sheds by the calls out against those that its rate of the last 20 s explains. When most of a tier drains at once, that number stays what the whole tier could hold, and all of it goes to the few backends left.

The usual number is now scaled with the backends in service, a cold one counted with the part of its capacity that it has, against their mean over the memory of the same rate. Where the list does not change, nothing does.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,8 +58,7 @@
 const SUBSET: usize = 2;
 /// The same at the entry, where more of them even out what each happens to get.
 const ENTRY_SUBSET: usize = 3;
-/// Members for each call in flight on average: more tell backends apart, fewer reuse connections
-/// and stay under backends' caps on them. The first where connections are free, else the second.
+/// Members for each call in flight, where connections are free and where they are dear.
 const MEMBERS_PER_CALL: [f64; 2] = [1.0, 0.25];
 /// Members in other zones, where crossing zones is priced.
 const AWAY_SUBSET: usize = 2;
@@ -243,6 +242,8 @@
     /// Mean excess of unanswered calls over a while, in roots of the usual number.
     excess: f64,
     excess_at: Time,
+    /// Mean number of backends in service over the memory of the send rate, cold ones in part.
+    able: f64,
     lanes: HashMap<u64, Lane>,
     /// When so many lanes are kept, the idle ones are dropped.
     most_lanes: usize,
@@ -292,6 +293,7 @@
             turned_away: 0,
             excess: 0.0,
             excess_at: now,
+            able: 0.0,
             lanes: HashMap::new(),
             most_lanes: 16,
             orphans: HashMap::new(),
@@ -407,9 +409,8 @@
         }
     }
 
-    /// Lets the next request of a key run, if it may. Guards the order of keys: a request waits
-    /// while an earlier one is unfinished or has an attempt without its outcome, whoever ended
-    /// it, and while the key rests after an attempt that may still be running.
+    /// Lets the next request of a key run, unless an earlier one is unfinished or has an attempt
+    /// without its outcome, or the key rests after an attempt that may still be running.
     fn advance(&mut self, key: u64, actions: &mut Vec<Action>) {
         let Some((lane, &slot)) = self.lanes.get(&key).and_then(|l| Some((l, l.queue.front()?))) else {
             return;
@@ -432,9 +433,8 @@
         self.begin(slot, actions);
     }
 
-    /// Counts a request, and tells whether it lies beyond its tenant's share: whether those
-    /// admitted use up this balancer's part of the quota. Refused ones don't count, for clients
-    /// try them again, and in a jam these retries would put every tenant over its share.
+    /// Counts a request; tells whether those admitted use up its tenant's part here. Refused ones
+    /// don't count: clients try them again, which in a jam would put every tenant over its share.
     fn count_arrival(&mut self, class: usize, tenant: Option<usize>) -> bool {
         let now = self.now;
         let share = tenant.and_then(|t| self.shares.get_mut(t));
@@ -444,8 +444,7 @@
         over
     }
 
-    /// Sheds at the entry, where no work has been done yet: with the pressure that lowers p,
-    /// the requests of least worth for their work are refused.
+    /// Sheds at the entry, where no work was done yet: under pressure, the least worth for its work.
     fn admits(&mut self, class: usize, over: bool) -> bool {
         let pressure = self.pressure();
         if self.settings.tier > 0 || pressure <= 0.0 {
@@ -477,7 +476,12 @@
     /// chance, one that lasts is not: what passes as chance narrows with its mean over a while.
     fn pressure(&mut self) -> f64 {
         self.sent.age(self.now, self.memory);
-        let usual = self.sent.per_second() * self.wait.mean;
+        // Fewer backends than that rate was sent to can hold fewer calls.
+        let able = self.listed.iter().map(|b| self.ramp(&self.backends[*b].entry)).sum::<f64>();
+        let keep = if self.able > 0.0 { (-(self.now - self.excess_at) / self.memory).exp() } else { 0.0 };
+        self.able = able + (self.able - able) * keep;
+        let part = (able / self.able.max(f64::MIN_POSITIVE)).min(1.0);
+        let usual = part * self.sent.per_second() * self.wait.mean;
         let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
         self.excess = beyond + (self.excess - beyond) * keep;
@@ -603,8 +607,7 @@
         true
     }
 
-    /// Of two random members of the subset the one with fewer calls in flight; for a repeat
-    /// the other one, or two new ones. Where no member can be used, any backend of the scope.
+    /// Of two random members the one with fewer calls in flight, for a repeat the other; or any backend.
     fn place(&mut self, slot: Slot, scope: Scope) -> Option<usize> {
         let tried: Vec<usize> = self.calls[slot].attempts.iter().map(|a| a.backend).collect();
         let other = self.calls[slot].other.take();
@@ -645,9 +648,8 @@
         (len > 0).then(|| self.rng.random_range(0..len))
     }
 
-    /// Own calls in flight, this one included, and those of others that it has reported, per
-    /// weight. A backend that fails fast or hangs looks idle to such a count, so slowness and
-    /// failures seen there count as load.
+    /// Own calls in flight, this one included, per weight. A backend that fails fast or hangs looks
+    /// idle to such a count, so slowness and failures seen there count as load.
     fn load(&self, backend: usize) -> f64 {
         let b = &self.backends[backend];
         let away = if self.away(backend) { 1.0 + AWAY_LOAD * self.settings.cross_zone } else { 1.0 };
@@ -663,20 +665,18 @@
         if self.backends[backend].entry.status != Status::InService {
             return false;
         }
-        let (from, cold) = (self.settings.cold_share, self.settings.cold);
-        let Some(started) = self.backends[backend].entry.started.filter(|s| self.now < s + cold) else {
+        if self.ramp(&self.backends[backend].entry) >= 1.0 {
             return true;
-        };
+        }
         if !self.subset.contains(&backend) {
             return false; // its budget is the members'
         }
-        // All members that do likewise together send it the usual part of what is served (in an
-        // overload less than what is sent), times its capacity of the moment, times a margin.
+        // All members alike send it their part of what is served, times its capacity and a margin.
         self.served.age(self.now, self.memory);
         let rate = self.served.per_second() / self.subset.len().max(1) as f64;
         let multiple = COLD_MARGIN * self.settings.fall_multiple;
+        let ramp = self.ramp(&self.backends[backend].entry);
         let b = &mut self.backends[backend];
-        let ramp = from + (1.0 - from) * ((self.now - started) / cold).clamp(0.0, 1.0);
         let allowed = rate * ramp * multiple;
         // Parts of a request are drawn lots for and not saved, lest many balancers' come at once.
         let part = b.cold.fill(self.now, allowed, allowed * self.settings.tip_after);
@@ -684,6 +684,13 @@
         b.cold.room >= 1.0
     }
 
+    /// The part of its capacity that a backend surely has: less than all of it while it is cold.
+    fn ramp(&self, entry: &Entry) -> f64 {
+        let (from, cold) = (self.settings.cold_share, self.settings.cold);
+        let warmth = entry.started.map_or(1.0, |s| ((self.now - s) / cold).clamp(0.0, 1.0));
+        if warmth < 1.0 { from + (1.0 - from) * warmth } else { 1.0 }
+    }
+
     // ---- It ends ----
 
     /// It ends from outside: its stream has begun, or its caller has left.
@@ -748,8 +755,7 @@
         }
     }
 
-    /// Gives the final answer to a call that was not served: a refusal if trying it again is
-    /// harmless, else a failure.
+    /// The final answer to a call not served: a refusal if trying again is harmless, else a failure.
     fn finish_unserved(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         let call = &self.calls[slot];
         let harmless = match self.settings.classes[call.class].effect {
@@ -808,8 +814,7 @@
         b.slowness_at = self.now;
     }
 
-    /// Learns from the attempts of a call that are still out, where their backends have answered
-    /// nothing since; tells whether one has.
+    /// Learns from attempts still out whose backends answered nothing since; tells whether one did.
     fn learn_waiting(&mut self, slot: Slot, failed: bool) -> bool {
         let mut alive = false;
         for i in 0..self.calls[slot].attempts.len() {
@@ -842,8 +847,7 @@
 
     // ---- The list ----
 
-    /// Closes idle connections to a draining backend: on the notice, and after each outcome
-    /// there, as what was out at the notice leaves a connection behind.
+    /// Closes idle connections to a draining backend: on the notice and after each outcome there.
     fn release_if_draining(&self, backend: usize, actions: &mut Vec<Action>) {
         let entry = &self.backends[backend].entry;
         if self.settings.release_within.is_some() && entry.status == Status::Draining {
@@ -892,8 +896,7 @@
         self.release_if_draining(known, actions);
     }
 
-    /// Number of members wanted: never fewer than cover all backends, and more for a balancer
-    /// that has more calls in flight, by Little's law.
+    /// Members wanted: enough to cover all backends, and more for more calls in flight.
     fn subset_size(&mut self) -> usize {
         if self.sent.span > 0.5 * self.memory {
             let each = MEMBERS_PER_CALL[usize::from(self.settings.dear_connections)];
@@ -940,8 +943,7 @@
         }
     }
 
-    /// Deals out backends in rounds, each a shuffle of its own, so that every one is in as many
-    /// subsets as the next: with few balancers a plain random draw would leave some in none.
+    /// Deals backends out in rounds, each a shuffle of its own, so that all are in as many subsets.
     fn deal(&self, mut from: Vec<usize>, least: usize, size: usize) -> Vec<usize> {
         let count = from.len();
         let base = least.min(count);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -656,6 +656,31 @@
     assert_eq!(refusals, 0);
 }
 
+#[test]
+fn fewer_backends_get_fewer_calls() {
+    // Guards against the calls of a whole fleet on the one backend that a release leaves for a while.
+    let admitted = |status: Status| {
+        let mut b = Bench::new(Settings { tier: 0, ..safe() }, &fleet(4));
+        for id in 0..400 {
+            b.request(4 * id);
+            let mut batch: Vec<_> = (4 * id + 1..4 * id + 4).map(|id| (id, b.request(id))).collect();
+            batch.push((4 * id, vec![]));
+            b.run_to(b.now + 0.1);
+            for (id, _) in batch {
+                if let Some(to) = b.sent.get(&id).map(|to| to[0]) {
+                    let actions = b.end(id, 0, to, Outcome::Served, 0.1);
+                    b.cancelled(&actions);
+                }
+            }
+        }
+        let left: Vec<_> = fleet(4).into_iter().skip(1).map(|e| Entry { status, ..e }).collect();
+        b.event(Event::List(ListUpdate::Changes(&left)));
+        (10_000..10_100).filter(|id| !sends(&b.request(*id)).is_empty()).count()
+    };
+    let (few, all) = (admitted(Status::Draining), admitted(Status::InService));
+    assert!(few <= 5 && all > 6, "{few} {all}");
+}
+
 #[test]
 fn least_worth_and_over_share_go_first() {
     let mut settings = safe();
