Take in no changes of the list that are older than the list already had

A watch asks for what is newer than a version. Changes that end before it were taken in all the same, and the version set back: a backend that has drained since would be sent to again, against the rule on drains. Such an answer now counts as a failed call, which is made again after the usual backoff; a whole list of a lower version is still taken, as a discovery that has begun anew says `reset`.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -94,6 +94,8 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("list: {0}")]
     Json(#[from] serde_json::Error),
+    #[error("changes up to {0} only, which are known")]
+    Stale(u64),
 }
 
 /// The number of a zone, added if it is new.
@@ -296,7 +298,13 @@
                 return Err(CallError::Status(status.as_u16()));
             }
             *kept = peer.checked();
-            Ok(serde_json::from_slice(&body.to_bytes())?)
+            let list: RawList = serde_json::from_slice(&body.to_bytes())?;
+            // Taken in, old changes would bring back backends that have since drained. A discovery
+            // that has begun anew tells the whole list.
+            match list.reset || list.generation >= self.generation.get() {
+                true => Ok(list),
+                false => Err(CallError::Stale(list.generation)),
+            }
         });
         called.await.unwrap_or(Err(CallError::Late))
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -600,3 +600,31 @@
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
     assert!(proxy.child.try_wait().unwrap().is_none());
 }
+
+#[test]
+fn old_changes_are_not_taken_in_but_an_old_whole_list_is() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let entries = |old_state: &str, new_state: &str| {
+        [entry("s-0", old.address, old_state), entry("s-1", new.address, new_state)]
+    };
+    let news = list(9, false, &entries("DELETED", "SERVING")).to_string();
+    let stale = list(3, false, &entries("SERVING", "DELETED")).to_string();
+    let anew = list(4, true, &entries("SERVING", "DELETED")[..1]).to_string();
+    let whole = Arc::new(AtomicUsize::new(0));
+    let may = whole.clone();
+    let discovery = Played::new(move |before, _| match (before, may.load(Ordering::SeqCst)) {
+        (0, _) => Play::Answer(answer("200 OK", &news)),
+        (_, 0) => Play::Answer(answer("200 OK", &stale)),
+        (_, 1) => Play::Answer(answer("200 OK", &anew)),
+        _ => Play::Silence(channel().0),
+    });
+    let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+    wait_for("further call", || discovery.count() >= 4);
+    assert!(discovery.requests.lock().unwrap()[3].first.contains("since=9&"));
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
+    whole.store(1, Ordering::SeqCst);
+    let asked_for_more = |m: &Message| m.first.contains("since=4&");
+    wait_for("whole list", || discovery.requests.lock().unwrap().iter().any(asked_for_more));
+    whole.store(2, Ordering::SeqCst);
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"old");
+}
