Let the loser of a copy end by itself where connections are dear

Seen: the large fleet opens 18 to 30 connections a node, while its copies (0.3 a request over all tiers) are each followed by a cancel. To give up an attempt the proxy has to close its connection, so every copy cost a handshake later on, at every proxy (finish() in src/logic.rs, the cancel of all attempts but one). Ruled out: idle connections ended by the backends (the report counts none closed as idle).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -662,11 +662,10 @@
 
     /// In service, and, while it is cold, within this balancer's part of what it can take.
     fn usable(&mut self, backend: usize) -> bool {
-        if self.backends[backend].entry.status != Status::InService {
-            return false;
-        }
-        if self.ramp(&self.backends[backend].entry) >= 1.0 {
-            return true;
+        let entry = &self.backends[backend].entry;
+        let (in_service, ramp) = (entry.status == Status::InService, self.ramp(entry));
+        if !in_service || ramp >= 1.0 {
+            return in_service;
         }
         if !self.subset.contains(&backend) {
             return false; // its budget is the members'
@@ -675,7 +674,6 @@
         self.served.age(self.now, self.memory);
         let rate = self.served.per_second() / self.subset.len().max(1) as f64;
         let multiple = COLD_MARGIN * self.settings.fall_multiple;
-        let ramp = self.ramp(&self.backends[backend].entry);
         let b = &mut self.backends[backend];
         let allowed = rate * ramp * multiple;
         // Parts of a request are drawn lots for and not saved, lest many balancers' come at once.
@@ -775,14 +773,16 @@
         Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0)
     }
 
-    /// Drops a call, and cancels its attempts but for the one that answered.
+    /// Drops a call, and cancels its attempts but for the one that answered. A cancel closes a connection:
+    /// where those are dear, an attempt goes on to its answer or time-out, as its work mostly does anyhow.
     fn finish(&mut self, slot: Slot, keep: Option<usize>, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(slot) else {
             return;
         };
         self.by_id.remove(&call.id);
-        for (i, attempt) in call.attempts.iter().enumerate() {
-            if self.settings.cancel && attempt.outcome.is_none() && keep != Some(i) {
+        let cancel = self.settings.cancel && !self.settings.dear_connections;
+        for i in (0..call.attempts.len()).filter(|i| cancel && keep != Some(*i)) {
+            if call.attempts[i].outcome.is_none() {
                 actions.push(Action::Cancel { id: call.id, attempt: i });
             }
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -251,6 +251,28 @@
     }
 }
 
+#[test]
+fn where_connections_are_dear_a_loser_goes_on_and_keeps_its_own() {
+    // Guards against a handshake for every copy, paid by each of a large fleet's many balancers.
+    let mut b = Bench::new(Settings { dear_connections: true, ..safe() }, &fleet(4));
+    let first = sends(&b.request(1))[0].1;
+    let second = sends(&plain(b.run_to(0.5)))[0].1;
+    assert_eq!(b.end(1, 1, second, Outcome::Served, 0.1), [], "nothing is cancelled");
+    assert_eq!(b.balancer.open_requests(), 0);
+    // Its backend still works on it, and counts as busy until it ends.
+    assert_ne!(sends(&b.request(2))[0].1, first);
+    let ended = Ended {
+        id: RequestId(1),
+        backend: BackendId(first),
+        attempt: 0,
+        outcome: Outcome::Served,
+        took: 0.9,
+        over: true,
+        report: None,
+    };
+    assert_eq!(b.event(Event::Outcome(ended)), []);
+}
+
 #[test]
 fn a_started_stream_is_the_callers() {
     let mut b = Bench::new(safe(), &fleet(4));
