--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,8 +82,6 @@
     pub cross_zone: f64,
     /// Open or new connections have a price.
     pub dear_connections: bool,
-    /// Load reports come with the results of probes only, and probes are allowed.
-    pub probe_for_reports: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
     /// A request may have two attempts out at once.
@@ -124,7 +122,6 @@
             zone: 0,
             cross_zone: 0.0,
             dear_connections: false,
-            probe_for_reports: false,
             cancel: true,
             second_copies: true,
             max_attempts: 4,
@@ -226,13 +223,6 @@
     NeverSent,
 }
 
-/// What a backend said of its load. It is late and noisy; what is not reported is absent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// How long a request takes it, waiting left out.
-    pub service: Option<Time>,
-}
-
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ended {
@@ -248,8 +238,6 @@
     pub took: Time,
     /// The request has its final answer.
     pub over: bool,
-    /// The load report that came along.
-    pub report: Option<Report>,
 }
 
 /// What happens to a balancer.
@@ -270,15 +258,6 @@
     ClientLeft(RequestId),
     /// A timer set with [`Action::Timer`] is due.
     Timer(u64),
-    /// A probe ended.
-    Probed {
-        /// The backend probed.
-        backend: BackendId,
-        /// How it ended.
-        outcome: Outcome,
-        /// The load report that came along.
-        report: Option<Report>,
-    },
     /// News of the list.
     List(ListUpdate<'a>),
 }
@@ -321,8 +300,6 @@
         /// What to hand back.
         token: u64,
     },
-    /// See whether a backend answers.
-    Probe(BackendId),
     /// Close the idle connections to a backend.
     Release(BackendId),
     /// Ask to be told of changes to the list, or no longer.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,10 +64,6 @@
 const AWAY_SUBSET: usize = 2;
 /// How much more load they count as having, for all of the worth that a crossing may cost.
 const AWAY_LOAD: f64 = 40.0;
-/// Weight of a new report in the service time of a backend.
-const SERVICE_WEIGHT: f64 = 0.3;
-/// Where only probes bring reports, one member is probed for each so many sends.
-const SENDS_A_PROBE: usize = 3;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
 /// The token of the timer that asks for the list; tokens of calls are above it.
@@ -150,8 +146,6 @@
     answered_at: Time,
     /// What may be sent to it while it is cold, in requests.
     cold: Bucket,
-    /// How long a request takes it, by its reports.
-    service: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -269,10 +263,6 @@
     memory: Time,
     /// Members that the calls in flight have called for so far.
     grown: usize,
-    /// Mean of the service times that backends report.
-    service: Time,
-    /// Attempts sent so far.
-    sends: usize,
     watch_asked: bool,
     watch_wait: Time,
 }
@@ -310,8 +300,6 @@
             shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
             memory: RATE_MEMORY * T1_REACH * longest,
             grown: 0,
-            service: 0.0,
-            sends: 0,
             watch_asked: false,
             watch_wait: settings.ask_within / 10.0,
             settings,
@@ -339,7 +327,6 @@
             Event::ClientLeft(id) => self.end(id, None, actions),
             Event::Timer(LIST_TOKEN) => actions.push(Action::Watch(true)),
             Event::Timer(token) => self.timer(token, actions),
-            Event::Probed { backend, report, .. } => self.take_report(backend, report),
             Event::List(update) => self.list(update, actions),
         }
     }
@@ -599,11 +586,6 @@
         call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None });
         self.turned_away -= usize::from(std::mem::take(&mut call.turned_away));
         actions.push(Action::Send { id: call.id, backend: id, timeout: until - now });
-        self.sends += 1;
-        let (turn, members) = (self.sends / SENDS_A_PROBE, self.subset.len());
-        if self.settings.probe_for_reports && self.sends.is_multiple_of(SENDS_A_PROBE) && members > 0 {
-            actions.push(Action::Probe(self.backends[self.subset[turn % members]].entry.id));
-        }
         true
     }
 
@@ -653,11 +635,7 @@
     fn load(&self, backend: usize) -> f64 {
         let b = &self.backends[backend];
         let away = if self.away(backend) { 1.0 + AWAY_LOAD * self.settings.cross_zone } else { 1.0 };
-        let slow = match (b.service, self.service) {
-            (Some(own), mean) if mean > 0.0 => own / mean,
-            _ => 1.0,
-        };
-        away * (b.in_flight + 1) as f64 * slow * self.slowness(b) / b.entry.weight.max(f64::MIN_POSITIVE)
+        away * (b.in_flight + 1) as f64 * self.slowness(b) / b.entry.weight.max(f64::MIN_POSITIVE)
     }
 
     /// In service, and, while it is cold, within this balancer's part of what it can take.
@@ -702,7 +680,6 @@
         if let Some(&backend) = self.by_backend.get(&ended.backend) {
             let b = &mut self.backends[backend];
             b.in_flight = b.in_flight.saturating_sub(1);
-            self.take_report(ended.backend, ended.report);
             self.release_if_draining(backend, actions);
             if let Some(slot) = slot {
                 let class = self.calls[slot].class;
@@ -834,17 +811,6 @@
         1.0 + (backend.slowness - 1.0) * (-age).exp()
     }
 
-    /// Takes in how long requests take a backend, as it reports.
-    fn take_report(&mut self, backend: BackendId, report: Option<Report>) {
-        let service = report.and_then(|r| r.service).filter(|s| *s > 0.0);
-        if let (Some(&backend), Some(service)) = (self.by_backend.get(&backend), service) {
-            let known = self.backends[backend].service.get_or_insert(service);
-            *known += SERVICE_WEIGHT * (service - *known);
-            let mean = if self.service > 0.0 { self.service } else { service };
-            self.service = mean + NORMAL_WEIGHT * (service - mean);
-        }
-    }
-
     // ---- The list ----
 
     /// Closes idle connections to a draining backend: on the notice and after each outcome there.
@@ -885,7 +851,6 @@
                 slowness_at: self.now,
                 answered_at: f64::NEG_INFINITY,
                 cold: fresh,
-                service: None,
             });
         }
         let b = &mut self.backends[known];
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,7 +1,7 @@
-//! Connections to backends, attempts and probes on them, and the exact outcome of each.
+//! Connections to backends, attempts on them, and the exact outcome of each.
 
 use super::engine::{Clock, Payload};
-use crate::{Outcome, Report, Time};
+use crate::{Outcome, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -247,19 +247,17 @@
     pub content_type: Option<HeaderValue>,
 }
 
-/// How an attempt or probe ended.
+/// How an attempt ended.
 pub struct Done {
     /// The outcome.
     pub outcome: Outcome,
     /// The answer, if it was served.
     pub served: Option<Served>,
-    /// The load report that came along.
-    pub report: Option<Report>,
 }
 
 impl Done {
     fn without_answer(outcome: Outcome) -> Self {
-        Self { outcome, served: None, report: None }
+        Self { outcome, served: None }
     }
 }
 
@@ -275,20 +273,6 @@
     exchange(&endpoint, &clock, &written, payload.once, || payload.request(until - clock.now())).await
 }
 
-/// Makes one probe of `path`.
-pub async fn probe(endpoint: Rc<Endpoint>, path: &'static str, clock: Clock) -> Done {
-    let request = || {
-        let mut request = Request::new(Full::default());
-        *request.uri_mut() = hyper::Uri::from_static(path);
-        request.headers_mut().insert("host", HeaderValue::from_static("backend"));
-        request
-    };
-    let within = 4 * endpoint.connect_timeout;
-    let written = Cell::new(false);
-    let probed = exchange(&endpoint, &clock, &written, false, request);
-    tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
-}
-
 async fn exchange(
     endpoint: &Endpoint,
     clock: &Clock,
@@ -329,15 +313,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Full,
         _ => Outcome::Error,
     };
-    let report = head.headers.get("x-pressure").and_then(|v| report(v.as_bytes()));
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
     let served = (outcome == Outcome::Served).then_some(Served { body, content_type });
-    Done { outcome, served, report }
-}
-
-/// Reads a load report; what the decisions can't use is skipped.
-pub fn report(json: &[u8]) -> Option<Report> {
-    let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(json).ok()?;
-    let service = fields.get("avg_ms").or(fields.get("latency_ms")).and_then(|v| v.as_f64());
-    Some(Report { service: service.filter(|ms| *ms >= 0.0).map(|ms| ms / 1000.0) })
+    Done { outcome, served }
 }
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -118,8 +118,6 @@
     registry_mode: RegistryMode,
     rules: Rules,
     #[serde(default)]
-    stats: Stats,
-    #[serde(default)]
     tier: usize,
     #[serde(default)]
     zone: String,
@@ -138,8 +136,6 @@
     #[serde(default)]
     max_retry_after: f64,
     #[serde(default)]
-    probing: bool,
-    #[serde(default)]
     retry_after: bool,
     second_copies: bool,
 }
@@ -210,12 +206,6 @@
     release_within: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Stats {
-    how: String,
-}
-
 fn bad(name: &str, expected: &'static str, got: impl ToString) -> ConfigError {
     ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
 }
@@ -281,7 +271,6 @@
             zone,
             cross_zone: raw.costs.cross_zone,
             dear_connections: raw.costs.connection + raw.costs.handshake > 0.0,
-            probe_for_reports: raw.stats.how == "on_probe" && raw.caps.probing,
             cancel: raw.caps.cancel,
             second_copies: raw.caps.second_copies,
             max_attempts: raw.caps.max_attempts,
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -6,8 +6,8 @@
 use super::config::WireSettings;
 use super::discovery::{Discovery, Listed, News};
 use crate::{
-    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
-    Settings, Status, Time,
+    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Request, RequestId, Settings,
+    Status, Time,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -170,7 +170,6 @@
     drain_grace: Time,
     max_open: usize,
     max_attempts: usize,
-    probe_path: &'static str,
 }
 
 impl Engine {
@@ -191,7 +190,6 @@
             drain_grace: wire.drain_grace.as_secs_f64(),
             max_open: wire.max_open,
             max_attempts: settings.max_attempts,
-            probe_path: if settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
                 told: VecDeque::new(),
@@ -315,16 +313,9 @@
             outcome: done.outcome,
             took: self.clock.now() - running.sent,
             over: !state.open.contains_key(&id),
-            report: done.report,
         })));
     }
 
-    fn probed(&self, backend: BackendId, outcome: Outcome, report: Option<Report>) {
-        let mut state = self.state.borrow_mut();
-        state.told.push_back(Told::Event(Event::Probed { backend, outcome, report }));
-        self.decide(state);
-    }
-
     /// Lets the module decide on all that it has not been told yet.
     fn decide(&self, mut state: std::cell::RefMut<'_, State>) {
         let mut actions = Vec::new();
@@ -363,13 +354,12 @@
         match action {
             Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
             Action::Cancel { id, attempt } => {
-                let done = Done { outcome: Outcome::Cancelled, served: None, report: None };
+                let done = Done { outcome: Outcome::Cancelled, served: None };
                 self.ended(state, id, attempt, done);
             }
             Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
             Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
-            Action::Probe(backend) => self.probe(state, backend),
             Action::Release(backend) => {
                 state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
             }
@@ -392,7 +382,6 @@
                 outcome: Outcome::NeverSent,
                 took: 0.0,
                 over: !state.open.contains_key(&id),
-                report: None,
             })));
         };
         if self.budget.full() {
@@ -414,17 +403,6 @@
         self.set_timer(state, until, Due::Attempt(id, attempt));
     }
 
-    fn probe(&self, state: &State, backend: BackendId) {
-        if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
-            let probed = backend::probe(endpoint.clone(), self.probe_path, self.clock);
-            tokio::task::spawn_local(async move {
-                let done = probed.await;
-                let body = done.served.as_ref().and_then(|s| backend::report(&s.body));
-                engine.probed(backend, done.outcome, done.report.or(body));
-            });
-        }
-    }
-
     fn set_timer(&self, state: &mut State, at: Time, due: Due) {
         let first = state.timers.peek().is_none_or(|Reverse((first, ..))| at < first.0);
         state.timers_set += 1;
@@ -463,7 +441,7 @@
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
-                    self.ended(&mut state, id, attempt, Done { outcome, served: None, report: None });
+                    self.ended(&mut state, id, attempt, Done { outcome, served: None });
                 }
                 // The module has not answered in time: the client must not be left without.
                 Due::Request(id) => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -138,8 +138,6 @@
 pub struct InstanceNames {
     classes: Vec<String>,
     tenants: Vec<String>,
-    /// The names of the values of a load report, in their order.
-    report: Vec<String>,
 }
 
 /// A line of a batch.
@@ -256,6 +254,7 @@
         }
         "RESULT" => {
             let [id, backend, attempt, code, took, over, report] = values("RESULT", rest)?;
+            load_report(report)?;
             Line::Event(Event::Outcome(Ended {
                 id: request_id(id)?,
                 backend: BackendId(whole("the backend", backend)?),
@@ -263,7 +262,6 @@
                 outcome: outcome(code)?,
                 took: positive("the duration", took)?,
                 over: flag("the end mark", over)?,
-                report: load_report(report, instance)?,
             }))
         }
         "CLIENT_LEFT" => {
@@ -277,9 +275,10 @@
         "HEALTH" => {
             let [duration, backend, code, report] = values("HEALTH", rest)?;
             positive("the duration", duration)?;
-            let report = load_report(report, instance)?;
-            let backend = BackendId(whole("the backend", backend)?);
-            Line::Event(Event::Probed { backend, outcome: outcome(code)?, report })
+            load_report(report)?;
+            whole::<u32>("the backend", backend)?;
+            outcome(code)?;
+            Line::Ignored
         }
         "PEER" => {
             let [from, octets] = values("PEER", rest)?;
@@ -300,20 +299,9 @@
     }
 }
 
-/// Reads a load report; values that the decisions can't use are skipped.
-fn load_report(text: &str, instance: Option<&InstanceNames>) -> Result<Option<Report>> {
-    if text == "-" {
-        return Ok(None);
-    }
-    let mut report = Report::default();
-    let names = instance.map_or(&[][..], |i| &i.report);
-    for (i, value) in text.split(',').enumerate().filter(|(_, v)| *v != "-") {
-        let value = number("the load report", value)?.max(0.0);
-        if names.get(i).is_some_and(|name| name == "avg_ms") {
-            report.service = Some(value / 1000.0);
-        }
-    }
-    Ok(Some(report))
+/// Checks a load report; the decisions make no use of its values.
+fn load_report(text: &str) -> Result<()> {
+    text.split(',').filter(|v| *v != "-").try_for_each(|value| number("the load report", value).map(drop))
 }
 
 fn entry(rest: &str, zones: &mut Names) -> Result<Entry> {
@@ -395,9 +383,6 @@
         Some(_) if yes("caps.retry-after")? => num_or("caps.max-retry-after", 0.0)?,
         _ => 0.0,
     };
-    if let Some(fields) = map.get("stats.fields") {
-        names.report = fields.split(',').map(str::to_string).collect();
-    }
     let settings = Settings {
         classes,
         quotas,
@@ -411,9 +396,6 @@
         zone: zones.index(map.get("zone").copied().unwrap_or("")),
         cross_zone: num_or("costs.cross-zone", 0.0)?,
         dear_connections: num_or("costs.connection", 0.0)? + num_or("costs.handshake", 0.0)? > 0.0,
-        probe_for_reports: map.get("stats.how") == Some(&"on_probe")
-            && map.contains_key("caps.probing")
-            && yes("caps.probing")?,
         cancel: yes("caps.cancel")?,
         second_copies: yes("caps.second-copies")?,
         max_attempts: whole("caps.max-attempts", text("caps.max-attempts")?)?,
@@ -452,7 +434,6 @@
         Action::Refuse { id, retry_after: None } => writeln!(out, "REJECT {:016x} -", id.0),
         Action::Fail { id } => writeln!(out, "ERROR {:016x}", id.0),
         Action::Timer { at, token } => writeln!(out, "SLEEP {at:.6} {token}"),
-        Action::Probe(backend) => writeln!(out, "INSPECT {}", backend.0),
         Action::Release(backend) => writeln!(out, "RELEASE {}", backend.0),
         Action::Watch(on) => writeln!(out, "STREAM_CHANGES {}", u8::from(*on)),
         Action::Fetch => writeln!(out, "REFRESH"),
