Start a backend hardly met from what is known of its kind of machine

Meeting each member about once a second, a proxy needs seconds to find out; all do so at once. Now answer times are also kept by kind, and what is known of a backend starts from and fades to its kind's.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
 pub struct Entry {
     /// Which backend.
     pub id: BackendId,
+    /// What kind of machine it is, as the number of its name.
+    pub kind: u32,
     /// Its cell.
     pub cell: u32,
     /// Its zone.
@@ -170,10 +172,23 @@
 
 impl Default for Entry {
     fn default() -> Self {
-        Self { id: BackendId(0), cell: 0, zone: 0, weight: 1.0, status: Status::InService, started: None }
+        Self {
+            id: BackendId(0),
+            kind: 0,
+            cell: 0,
+            zone: 0,
+            weight: 1.0,
+            status: Status::InService,
+            started: None,
+        }
     }
 }
 
+/// A number for a name, the same at every proxy (FNV-1a).
+pub fn number_of(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
 /// News of the list of backends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ListUpdate<'a> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,8 @@
 const NORMAL_REACH: f64 = 0.25;
 /// Part of that weight under pressure: a T1 that followed the waits of a jam would hide it.
 const PRESSED_WEIGHT: f64 = 0.05;
+/// So many samples must speak against it before a kind of machine counts as unlike the others.
+const KIND_UNSURE: f64 = 5.0;
 /// Part of a normal answer time that doesn't grow with the work of a request.
 const WAITING: f64 = 0.5;
 /// Weight of a sample in what is known of a backend.
@@ -258,6 +260,8 @@
     /// Calls answered.
     served: Rate,
     normal: Vec<Normal>,
+    /// Answer times beside the normal one by kind of machine: what is known of a backend hardly met.
+    kinds: HashMap<u32, Normal>,
     /// Mean work of the requests of a class, by the guesses that came with them.
     works: Vec<Normal>,
     /// The same over all classes.
@@ -302,6 +306,7 @@
             served: Rate::new(now),
             wait: Normal::default(),
             normal: vec![Normal::default(); settings.classes.len()],
+            kinds: HashMap::new(),
             works: vec![Normal::default(); settings.classes.len()],
             arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
             shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
@@ -806,6 +811,10 @@
         let sample = if failed { FAILED_SLOWNESS } else { took / normal };
         let known = self.slowness(&self.backends[backend]);
         let b = &mut self.backends[backend];
+        if !failed {
+            let kind = Normal { samples: KIND_UNSURE, mean: 1.0, deviation: 0.0 };
+            self.kinds.entry(b.entry.kind).or_insert(kind).add(sample, FAILED_SLOWNESS, true);
+        }
         b.slowness = known + HEALTH_WEIGHT * (sample.min(FAILED_SLOWNESS) - known);
         b.slowness_at = self.now;
     }
@@ -825,10 +834,11 @@
         alive
     }
 
-    /// What was seen of a backend fades, so that it is tried again.
+    /// What was seen of a backend fades to what is known of its kind, so that it is tried again.
     fn slowness(&self, backend: &Backend) -> f64 {
         let age = (self.now - backend.slowness_at) / (HEALTH_MEMORY * self.memory);
-        1.0 + (backend.slowness - 1.0) * (-age).exp()
+        let kind = self.kinds.get(&backend.entry.kind).map_or(1.0, |kind| kind.mean);
+        kind + (backend.slowness - kind) * (-age).exp()
     }
 
     // ---- The list ----
@@ -868,14 +878,14 @@
                 entry: entry.clone(),
                 in_flight: 0,
                 slowness: 1.0,
-                slowness_at: self.now,
+                slowness_at: f64::NEG_INFINITY,
                 answered_at: f64::NEG_INFINITY,
                 cold: fresh,
             });
         }
         let b = &mut self.backends[known];
         if b.entry.started != entry.started {
-            (b.slowness, b.slowness_at, b.cold) = (1.0, self.now, fresh);
+            (b.slowness_at, b.cold) = (f64::NEG_INFINITY, fresh);
         }
         b.entry = entry.clone();
         self.release_if_draining(known, actions);
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -3,7 +3,7 @@
 use super::backend::{self, Peer};
 use super::config::WireSettings;
 use super::engine::{Clock, Engine};
-use crate::{BackendId, Entry, Settings, Status};
+use crate::{BackendId, Entry, Settings, Status, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -41,6 +41,8 @@
     #[serde(default)]
     zone: String,
     #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
     cell: u32,
     lifecycle: Lifecycle,
     weight: Option<f64>,
@@ -121,8 +123,7 @@
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
-        let hash = name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        let mut id = BackendId(hash);
+        let mut id = BackendId(number_of(name));
         while self.taken.contains_key(&id) {
             id = BackendId(id.0.wrapping_add(1));
         }
@@ -135,6 +136,7 @@
         let listed = |raw: RawEntry| Listed {
             entry: Entry {
                 id: self.id(&raw.instance_id),
+                kind: number_of(&raw.machine_type),
                 cell: raw.cell,
                 zone: zone_index(&mut self.zones, &raw.zone),
                 weight: raw.weight.filter(|w| w.is_finite() && *w >= 0.0).unwrap_or(1.0),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -303,13 +303,14 @@
 }
 
 fn entry(rest: &str, zones: &mut Names) -> Result<Entry> {
-    let [_kind, cell, id, weight, zone, status, started] = values("ITEM", rest)?;
+    let [kind, cell, id, weight, zone, status, started] = values("ITEM", rest)?;
     let started = match started {
         "-" => None,
         text => Some(number("the start", text)?).filter(|t| *t != 0.0),
     };
     Ok(Entry {
         id: BackendId(whole("the backend", id)?),
+        kind: number_of(kind),
         cell: whole("the cell", cell)?,
         zone: zones.index(zone),
         weight: if weight == "-" { 1.0 } else { positive("the weight", weight)? },
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -774,6 +774,26 @@
     assert!(third > 90, "{third}");
 }
 
+#[test]
+fn a_backend_hardly_met_is_taken_for_one_of_its_kind() {
+    // Guards against each of a hundred balancers learning every backend's speed for itself, and
+    // again after each restart or replacement.
+    let machines = |ids: std::ops::Range<u32>| -> Vec<Entry> {
+        ids.map(|id| Entry { kind: id % 2, ..entry(id) }).collect()
+    };
+    let mut b = Bench::new(safe(), &machines(1..3));
+    for id in 0..200 {
+        let to = sends(&b.request(id))[0].1;
+        let took = if to % 2 == 1 { 0.09 } else { 0.03 };
+        b.run_to(b.now + took);
+        b.end(id, 0, to, Outcome::Served, took);
+    }
+    // All are replaced: by their kind, two calls at a fast one are as good as none at a slow one.
+    b.event(Event::List(ListUpdate::Full(&machines(11..13))));
+    let to = (1000..1006).map(|id| sends(&b.request(id))[0].1).collect::<Vec<_>>();
+    assert!(to.iter().filter(|to| **to == 12).count() >= 4, "{to:?}");
+}
+
 #[test]
 fn answer_times_are_measured_by_the_guess_at_the_work() {
     // Guards against a backend that passes for slow, and a copy sent, because a request was heavy:
