Let the entry's shedding allow for the skew of small numbers

Each of 17 entry proxies has two to three calls out. pressure() in src/logic.rs held chance to be one and a half roots of the usual number; a small count scatters upwards by more, and with four calls out instead of two a proxy sheds. Now the root stands half way to that of the calls out. At a busy proxy the other bound (0.35 of the usual number) is wider as before, and with backends gone the usual number of the whole tier is the measure.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const CHANCE: [f64; 2] = [1.5, 0.8];
 /// At a busy balancer the root is small beside this part of the usual number, which stands instead.
 const USUAL_SPREAD: f64 = 0.35;
+/// The root stands this part of the way to that of the calls out, as counts are skewed.
+const SKEW: f64 = 0.5;
 /// It narrows by this for each root of mean excess
 const NARROWING: f64 = 2.0;
 /// beyond this one, averaged over
@@ -482,8 +484,11 @@
         let keep = if self.able > 0.0 { (-(self.now - self.excess_at) / self.memory).exp() } else { 0.0 };
         self.able = able + (self.able - able) * keep;
         let part = (able / self.able.max(f64::MIN_POSITIVE)).min(1.0);
-        let usual = part * self.sent.per_second() * self.wait.mean;
-        let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
+        let (crowd, whole) = (self.crowd(), self.sent.per_second() * self.wait.mean);
+        let usual = part * whole;
+        // Small numbers scatter upwards by more than their root.
+        let root = usual.max(1.0).sqrt() + SKEW * (crowd.sqrt() - whole.max(1.0).sqrt()).max(0.0);
+        let beyond = (crowd - usual) / root.max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
         self.excess = beyond + (self.excess - beyond) * keep;
         self.excess_at = self.now;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,6 +3,8 @@
 mod common;
 use common::*;
 use gannetproxy::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 fn fleet(n: u32) -> Vec<Entry> {
     (1..=n).map(entry).collect()
@@ -676,6 +678,41 @@
     assert_eq!(refusals, 0);
 }
 
+#[test]
+fn chance_among_few_calls_is_no_jam() {
+    // Guards against the quiet balancers of a large fleet, each of which has two calls out on
+    // average and sheds whenever it has four: together they refused one call in ten of a calm day.
+    let (mut refusals, mut asked) = (0, 0);
+    for seed in 0..20 {
+        let mut settings = Settings { tier: 0, ..safe() };
+        settings.classes[0].aim = 2.5;
+        let mut b = Bench::seeded(seed, settings, &fleet(16));
+        let mut chance = SmallRng::seed_from_u64(seed);
+        let mut gone_by = |mean: Time| -mean * (1.0 - chance.random::<f64>()).ln();
+        let mut out: Vec<(Time, u64, u32, Time)> = Vec::new();
+        let mut now = 0.0;
+        for id in 0..120_u64 {
+            now += gone_by(0.3);
+            out.sort_by(|a, b| a.0.total_cmp(&b.0));
+            while out.first().is_some_and(|next| next.0 <= now) {
+                let (at, done, to, took) = out.remove(0);
+                b.run_to(at);
+                let actions = b.end(done, 0, to, Outcome::Served, took);
+                b.cancelled(&actions);
+            }
+            b.run_to(now);
+            let actions = b.request_for(id, 6.0);
+            if id >= 20 {
+                asked += 1;
+                refusals += usize::from(refused(&actions, id));
+            }
+            let took = gone_by(0.55);
+            out.extend(sends(&actions).iter().map(|(id, to)| (now + took, *id, *to, took)));
+        }
+    }
+    assert!(refusals * 30 < asked, "{refusals} of {asked}");
+}
+
 #[test]
 fn fewer_backends_get_fewer_calls() {
     // Guards against the calls of a whole fleet on the one backend that a release leaves for a while.
