Give every balancer four members, lest one of as many as backends has no choice

With 16 to 19 proxies before 16 to 19 boxes a subset had two members (least_subset() in src/logic.rs), so that both were always drawn: a bad, choked or cold one leaves a proxy one box for all of its calls, and a repeat has nowhere sound to go. In the small fleet few callers cover the boxes with more members each, which hid it. Checked: the test finds balancers with one sound member where two of 16 boxes are bad.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,10 +60,8 @@
 const SHARE_BURST: Time = 1.0;
 /// What is known of a backend is forgotten over this part of the memory of the send rate.
 const HEALTH_MEMORY: f64 = 0.5;
-/// Least number of members of a subset.
-const SUBSET: usize = 2;
-/// The same at the entry, where more of them even out what each happens to get.
-const ENTRY_SUBSET: usize = 3;
+/// Least number of members of a subset: as many as leave two to choose from beside a bad one and a cold.
+const SUBSET: usize = 4;
 /// Members for each call in flight, where connections are free and where they are dear.
 const MEMBERS_PER_CALL: [f64; 2] = [1.0, 0.25];
 /// Members in other zones, where crossing zones is priced.
@@ -906,10 +904,9 @@
         self.least_subset().max(self.grown)
     }
 
-    /// Members without which some backends would be in no subset, and two to choose from.
+    /// Members without which some backends would be in no subset, and some to choose from.
     fn least_subset(&self) -> usize {
-        let least = if self.settings.tier == 0 { ENTRY_SUBSET } else { SUBSET };
-        least.max(self.listed.len().div_ceil(self.settings.instances.max(1)))
+        SUBSET.max(self.listed.len().div_ceil(self.settings.instances.max(1)))
     }
 
     /// Draws the subset, keeping the members that are still in service. Where crossing zones is
@@ -927,7 +924,7 @@
         let (home, away): (Vec<usize>, Vec<usize>) = self.listed.iter().partition(|b| !self.away(**b));
         let size = self.subset_size();
         let mut mine = self.deal(home, self.least_subset(), size);
-        mine.extend(self.deal(away, AWAY_SUBSET.max(self.least_subset() - SUBSET), 0));
+        mine.extend(self.deal(away, AWAY_SUBSET.max(self.least_subset() - AWAY_SUBSET), 0));
         let size = mine.len();
         let listed = &self.listed;
         self.subset.retain(|b| listed.binary_search(b).is_ok());
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -480,6 +480,20 @@
     }
 }
 
+#[test]
+fn no_balancer_of_many_is_left_without_a_choice() {
+    // Guards against subsets of two where balancers are as many as backends: with one member bad, all
+    // calls go to the other, and a repeat has nowhere sound to go.
+    for instances in [16, 28, 100] {
+        for me in 0..instances {
+            let settings = Settings { instances, me, ..safe() };
+            let sound = met(&mut Bench::seeded(me as u64, settings, &fleet(16)), 0);
+            let sound = sound.iter().filter(|id| **id > 2).count();
+            assert!(sound >= 2, "{sound} members of {me} are none of the two bad backends");
+        }
+    }
+}
+
 #[test]
 fn fewer_own_calls_in_flight_are_preferred_by_weight() {
     let list = [Entry { weight: 3.0, ..entry(1) }, entry(2)];
