Judge what must not run twice by the shortest rest that a connection ended after

At fault: Endpoint::still_up in src/proxy/backend.rs. Any connection found ended, even one closed right behind its answer, made a backend one that ends early, and from then on 100 ms was all the rest that an unsafe request allowed. Now a proxy keeps the shortest rest that a connection was seen to last and then be closed after, and an unsafe request goes on one that has rested for less than half of that. Ends within 100 ms and broken connections say nothing of rests.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -25,9 +25,12 @@
 /// Part of the idle limit of backends up to which a connection is used again: one that is used
 /// close to the limit crosses the backend's closing, and the request on it is lost.
 const REUSE_WITHIN: f64 = 0.7;
-/// A backend that has ended idle connections before that limit may do so just when a request goes
-/// out. One that must not run twice would be lost, and is sent there on a connection that was in use
-/// this recently, or on a new one.
+/// Backends may end idle connections before that limit, and just when a request goes out: one that must
+/// not run twice would be lost. It goes on a connection that has rested for less than this part of the
+/// shortest rest that one has ended after, or on a new one.
+const ONCE_WITHIN: f64 = 0.5;
+/// A connection that ends sooner was closed behind its answer, which says nothing of rests; one that was
+/// in use this recently carries any request.
 const FRESH: Duration = Duration::from_millis(100);
 
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
@@ -39,7 +42,16 @@
 
 struct Io {
     connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
-    ended: bool,
+    ended: Option<End>,
+}
+
+/// How a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// One side has closed it.
+    Closed,
+    /// It broke, as when its machine or process is gone.
+    Broken,
 }
 
 type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
@@ -49,7 +61,7 @@
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (sender, io) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false } })
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: None } })
 }
 
 impl Peer {
@@ -63,11 +75,14 @@
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
-    /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
-    /// for nothing: an answer that has come must not be held up by its connection.
-    pub fn checked(mut self) -> Option<Self> {
+    /// It, if it can carry another request and has not ended meanwhile. Waits for nothing: an
+    /// answer that has come must not be held up by its connection.
+    pub fn checked(mut self) -> Result<Self, End> {
         self.io.poll(&mut Context::from_waker(Waker::noop()));
-        (!self.io.ended && self.sender.is_ready()).then_some(self)
+        match self.io.ended {
+            None if self.sender.is_ready() => Ok(self),
+            end => Err(end.unwrap_or(End::Closed)),
+        }
     }
 }
 
@@ -75,7 +90,11 @@
     fn poll(&mut self, cx: &mut Context<'_>) {
         // Remembered, as the sender goes on saying that it is ready after the end: a connection
         // that the backend closed right behind its answer would be kept and used again.
-        self.ended = self.ended || self.connection.as_mut().poll(cx).is_ready();
+        if self.ended.is_none()
+            && let Poll::Ready(end) = self.connection.as_mut().poll(cx)
+        {
+            self.ended = Some(if end.is_ok() { End::Closed } else { End::Broken });
+        }
     }
 
     async fn drive<F: Future>(&mut self, wanted: F) -> Option<F::Output> {
@@ -84,7 +103,7 @@
             self.poll(cx);
             match wanted.as_mut().poll(cx) {
                 Poll::Ready(output) => Poll::Ready(Some(output)),
-                Poll::Pending if self.ended => Poll::Ready(None),
+                Poll::Pending if self.ended.is_some() => Poll::Ready(None),
                 Poll::Pending => Poll::Pending,
             }
         })
@@ -92,10 +111,13 @@
     }
 }
 
-/// How many connections to backends may be open, all together.
+/// How many connections to backends may be open, all together, and how long they may rest.
 pub struct Budget {
     open: Cell<usize>,
     most: usize,
+    /// The shortest rest that one was seen to last and be closed after: the backends of a tier are
+    /// alike, and each proxy uses a connection to most of them seldom.
+    shortest_rest: Cell<Duration>,
 }
 
 /// A connection's part of the budget.
@@ -104,7 +126,7 @@
 impl Budget {
     /// Room for so many.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { open: Cell::new(0), most })
+        Rc::new(Self { open: Cell::new(0), most, shortest_rest: Cell::new(Duration::MAX) })
     }
 
     /// There is room for none.
@@ -118,6 +140,11 @@
             Permit(self.clone())
         })
     }
+
+    /// A connection that may have rested for so long carries what must not run twice.
+    fn carries_once(&self, rested: Duration) -> bool {
+        rested < FRESH || rested.as_secs_f64() < ONCE_WITHIN * self.shortest_rest.get().as_secs_f64()
+    }
 }
 
 impl Drop for Permit {
@@ -130,6 +157,29 @@
     peer: Peer,
     permit: Permit,
     since: Instant,
+    /// How long it had rested when it was last looked at and had not ended.
+    up_after: Duration,
+}
+
+impl Idle {
+    fn new(peer: Peer, permit: Permit) -> Self {
+        Self { peer, permit, since: Instant::now(), up_after: Duration::ZERO }
+    }
+
+    /// It, unless it has ended; after what rest it was closed is remembered.
+    fn still_up(self) -> Option<Self> {
+        let Self { peer, permit, since, up_after } = self;
+        match peer.checked() {
+            Ok(peer) => Some(Self { peer, permit, since, up_after: since.elapsed() }),
+            Err(end) => {
+                let Permit(budget) = &permit;
+                if end == End::Closed && up_after >= FRESH {
+                    budget.shortest_rest.set(budget.shortest_rest.get().min(up_after));
+                }
+                None
+            }
+        }
+    }
 }
 
 /// A backend, its idle connections, and when sends to it must end.
@@ -140,8 +190,6 @@
     last_send: Cell<Option<Time>>,
     /// Goes up when its connections are no longer to be kept.
     era: Cell<u64>,
-    /// It has ended connections that rested, before the limit.
-    ends_early: Cell<bool>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     reuse_within: Duration,
@@ -155,7 +203,6 @@
             idle: RefCell::default(),
             last_send: Cell::new(None),
             era: Cell::new(0),
-            ends_early: Cell::new(false),
             budget,
             connect_timeout,
             reuse_within: idle.mul_f64(REUSE_WITHIN),
@@ -185,12 +232,8 @@
 
     /// Closes connections that have been idle too long, or that the backend has closed.
     pub fn sweep(&self) {
-        let fresh = |idle: Idle| {
-            let Idle { peer, permit, since } = idle;
-            (since.elapsed() < self.reuse_within).then_some(())?;
-            Some(Idle { peer: self.still_up(peer)?, permit, since })
-        };
-        let swept = self.idle.take().into_iter().filter_map(fresh).collect();
+        let fresh = |idle: &Idle| idle.since.elapsed() < self.reuse_within;
+        let swept = self.idle.take().into_iter().filter(fresh).filter_map(Idle::still_up).collect();
         self.idle.replace(swept);
     }
 
@@ -207,30 +250,23 @@
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
 
-    /// A connection that rested, unless the backend has ended it; that it does so is remembered.
-    fn still_up(&self, peer: Peer) -> Option<Peer> {
-        let peer = peer.checked();
-        self.ends_early.set(self.ends_early.get() || peer.is_none());
-        peer
-    }
-
     /// An idle connection, the one used last, or a new one. `once`: for a request that must not
     /// run twice.
     async fn peer(&self, once: bool) -> Option<(Peer, Permit)> {
         loop {
-            let Some(Idle { peer, permit, since }) = self.idle.borrow_mut().pop() else {
+            let Some(idle) = self.idle.borrow_mut().pop() else {
                 break;
             };
-            let rested = since.elapsed();
+            let rested = idle.since.elapsed();
             if rested < self.reuse_within
-                && let Some(peer) = self.still_up(peer)
+                && let Some(idle) = idle.still_up()
             {
-                if once && self.ends_early.get() && rested >= FRESH {
+                if once && !self.budget.carries_once(rested) {
                     // Kept for one that may be repeated; the others have rested for longer.
-                    self.idle.borrow_mut().push(Idle { peer, permit, since });
+                    self.idle.borrow_mut().push(idle);
                     break;
                 }
-                return Some((peer, permit));
+                return Some((idle.peer, idle.permit));
             }
         }
         let permit = self.budget.take()?;
@@ -302,10 +338,10 @@
         return Done::without_answer(Outcome::Reset);
     };
     let body = body.to_bytes();
-    if let Some(peer) = peer.checked()
+    if let Ok(peer) = peer.checked()
         && endpoint.era.get() == era
     {
-        endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
+        endpoint.idle.borrow_mut().push(Idle::new(peer, permit));
     }
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let outcome = match head.status {
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -287,7 +287,7 @@
     /// One call, on the connection kept from the last one if there is one.
     async fn call(&self, path: &str, wait: Duration, kept: &mut Option<Peer>) -> Result<RawList, CallError> {
         let called = tokio::time::timeout(wait, async {
-            let mut peer = match kept.take().and_then(Peer::checked) {
+            let mut peer = match kept.take().and_then(|peer| peer.checked().ok()) {
                 Some(peer) => peer,
                 None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
             };
@@ -303,7 +303,7 @@
             if !status.is_success() {
                 return Err(CallError::Status(status.as_u16()));
             }
-            *kept = peer.checked();
+            *kept = peer.checked().ok();
             let list: RawList = serde_json::from_slice(&body.to_bytes())?;
             // Taken in, old changes would bring back backends that have since drained. A discovery
             // that has begun anew tells the whole list.
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -29,8 +29,8 @@
 const MOST_LAG: Time = 0.1;
 /// Part of the grace of a drain after which a send that was decided before is not made.
 const GRACE_USED: f64 = 0.5;
-/// How often idle connections are looked through.
-const SWEEP: Duration = Duration::from_secs(1);
+/// How often idle connections are looked through: how long they last is known as exactly.
+const SWEEP: Duration = Duration::from_millis(100);
 
 /// The module's clock: seconds since the proxy started.
 #[derive(Clone, Copy, Debug)]
