Serve clients on their connections for longer after SIGTERM, and answer all before SIGKILL

Checked in the logs of both (13.04 s told, 17.5 s back; 16.04 s told): from 0.4 s on the front sends it no new connection, but clients that have one go on using it, 55 requests in 1.2 s where it stays open. The time of the new start does not depend on when the old process ends. Ruled out: requests lost by the one that stops. At fault: Server::run in src/proxy/server.rs ended all connections 0.55 s after SIGTERM, and every answer from then on said Connection: close, though SIGKILL comes only after the longest deadline (3 s at most) and 0.7 s more. Now connections stay for half of the time up to half a second before SIGKILL, 1.6 s here, and what is taken meanwhile has its time cut so that its answer is out by then.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -23,8 +23,16 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-/// How long after SIGTERM clients are still accepted: the front goes on for a moment.
+/// How long after SIGTERM clients are accepted at the least: the front goes on for a moment. They go on
+/// using the connections that they have for as long as those stay open, which may be all that is left
+/// to them while another proxy restarts: half of the time for answers is kept for that.
 const LINGER: Duration = Duration::from_millis(550);
+/// SIGKILL comes no earlier than this after SIGTERM and the longest deadline,
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// which counts as so much where it is longer.
+const MOST_DEADLINE: Time = 3.0;
+/// The last answer is out so long before SIGKILL.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
@@ -51,8 +59,8 @@
     engine: Rc<Engine>,
     settings: Settings,
     wire: WireSettings,
-    /// SIGTERM has come.
-    stopping: Cell<bool>,
+    /// When SIGTERM has come, all that is taken has to be answered by then.
+    answer_by: Cell<Option<Instant>>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     connections: Cell<usize>,
@@ -131,7 +139,7 @@
             engine,
             settings,
             wire,
-            stopping: Cell::new(false),
+            answer_by: Cell::default(),
             closing: watch::Sender::new(false),
             connections: Cell::new(0),
             most: connections,
@@ -146,8 +154,13 @@
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            self.stopping.set(true);
-            tokio::time::sleep(LINGER).await;
+            let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
+            let kill =
+                Duration::try_from_secs_f64(longest.min(MOST_DEADLINE)).unwrap_or_default() + KILL_AFTER;
+            let answers = kill - KILL_MARGIN;
+            self.answer_by.set(Some(Instant::now() + answers));
+            eprintln!("dewpier: told to stop");
+            tokio::time::sleep(LINGER.max(answers / 2)).await;
         };
         tokio::select! {
             () = accepting => {}
@@ -196,7 +209,7 @@
                 place.work();
                 let mut reply = server.reply(request, full, whole_by).await;
                 place.rest();
-                if full || server.stopping.get() {
+                if full {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
@@ -235,7 +248,7 @@
 
     async fn reply(&self, request: hyper::Request<Incoming>, full: bool, whole_by: Instant) -> Reply {
         if request.uri().path() == "/-/ready" {
-            return match self.engine.listed() && !self.stopping.get() {
+            return match self.engine.listed() && self.answer_by.get().is_none() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
@@ -246,13 +259,16 @@
             Ok(Err(problem)) => return problem,
             Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
         };
-        let request = match self.request(&head.headers) {
+        let mut request = match self.request(&head.headers) {
             Ok(request) => request,
             Err(problem) => return plain(StatusCode::BAD_REQUEST, problem),
         };
         if full {
             return self.refusal("too many connections\n", None);
         }
+        if let Some(by) = self.answer_by.get() {
+            request.budget = request.budget.min(by.saturating_duration_since(Instant::now()).as_secs_f64());
+        }
         let id = request.id;
         let headers = onward(head.headers);
         let once = self.settings.classes[request.class].effect == Effect::Unsafe;
