Refuse lists too large for the memory that a proxy may have

At fault: MOST_BYTES in src/proxy/discovery.rs, set without regard to what a list becomes once it is read. Now the limit is 1 MiB. What is larger is refused as any list that makes no sense: the last one is kept, and discovery is asked again with backoff.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -24,8 +24,9 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
-/// Largest list taken in.
-const MOST_BYTES: usize = 16 << 20;
+/// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
+/// memory, of the 32 MB that a proxy may have.
+const MOST_BYTES: usize = 1 << 20;
 
 /// A list as discovery writes it.
 #[derive(Debug, Default, Deserialize)]
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -541,17 +541,22 @@
 fn discovery_that_talks_nonsense_is_asked_again_and_the_last_list_kept() {
     let (old, new) = (Played::good("old"), Played::good("new"));
     let news = list(2, false, &[entry("s-0", old.address, "DELETED"), entry("s-1", new.address, "SERVING")]);
+    // More than a proxy has memory for, though each entry is as it should be.
+    let many = (0..8000).map(|i| entry(&format!("s-{i}"), new.address, "SERVING")).collect::<Vec<_>>();
+    let oversized = list(2, true, &many).to_string();
+    assert!(oversized.len() > 1 << 20);
     let good = Arc::new(AtomicUsize::new(0));
     let (may, told) = (good.clone(), news.to_string());
     let discovery = Played::new(move |before, _| match (before, may.load(Ordering::SeqCst)) {
         (0, _) => Play::Close,
         (1, _) => Play::Answer(answer("503 Service Unavailable", "")),
+        (2, _) => Play::Answer(answer("200 OK", &oversized)),
         (_, 0) => Play::Answer(answer("200 OK", "{\"generation\":")),
         (_, 1) => Play::Answer(answer("200 OK", &told)),
         _ => Play::Silence(channel().0),
     });
     let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
-    wait_for("further call", || discovery.count() >= 3);
+    wait_for("further call", || discovery.count() >= 4);
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"old");
     good.store(1, Ordering::SeqCst);
     let asked_for_more = |m: &Message| m.first.contains("since=2&");
