Count what calls out have waited beside the first answers, and a jam's answers less

The first answers are the quick ones, as the slow are still out. At fault: pressure() in src/logic.rs, which took the mean of the answers alone for the usual time, from the first on; and Normal::add, which let the first fifty answers of a jam in whole, so that a jam at the start became the norm. Now, until ten answers are known, what the calls out have waited counts too, over the answers that there are (the usual estimate where some are cut off), up to what passes as normal; from the tenth on, answers under pressure weigh less.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,9 @@
 const NORMAL_WEIGHT: f64 = 0.02;
 /// A mean beyond this part of the aim is a jam's and not normal; single answer times count whole.
 const NORMAL_REACH: f64 = 0.25;
-/// Part of that weight under pressure: a T1 that followed the waits of a jam would hide it.
+/// So many are few: the first are the quick ones, and what calls out have waited counts beside them.
+const FEW: f64 = 10.0;
+/// Part of that weight under pressure, from then on: a T1 that followed the waits of a jam would hide it.
 const PRESSED_WEIGHT: f64 = 0.05;
 /// So many samples must speak against it before a kind of machine counts as unlike the others.
 const KIND_UNSURE: f64 = 5.0;
@@ -101,10 +103,6 @@
 }
 
 impl Rate {
-    fn new(now: Time) -> Self {
-        Self { count: 0.0, span: 0.0, at: now }
-    }
-
     fn age(&mut self, now: Time, memory: Time) {
         let keep = (-(now - self.at).max(0.0) / memory).exp();
         self.count *= keep;
@@ -133,7 +131,7 @@
 impl Normal {
     fn add(&mut self, took: Time, most: Time, calm: bool) {
         self.samples += 1.0;
-        let pressed = !calm && self.samples > 1.0 / NORMAL_WEIGHT;
+        let pressed = !calm && self.samples > FEW;
         let weight = NORMAL_WEIGHT.max(1.0 / self.samples) * if pressed { PRESSED_WEIGHT } else { 1.0 };
         self.deviation += weight * ((took - self.mean).abs() - self.deviation);
         self.mean = (self.mean + weight * (took - self.mean)).min(most);
@@ -302,13 +300,13 @@
             listed: Vec::new(),
             groups: HashMap::new(),
             subset: Vec::new(),
-            sent: Rate::new(now),
-            served: Rate::new(now),
+            sent: Rate { at: now, ..Rate::default() },
+            served: Rate { at: now, ..Rate::default() },
             wait: Normal::default(),
             normal: vec![Normal::default(); settings.classes.len()],
             kinds: HashMap::new(),
             works: vec![Normal::default(); settings.classes.len()],
-            arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
+            arrivals: vec![[Rate { at: now, ..Rate::default() }; 2]; settings.classes.len()],
             shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
             memory: RATE_MEMORY * T1_REACH * longest,
             grown: 0,
@@ -482,7 +480,11 @@
         let keep = if self.able > 0.0 { (-(self.now - self.excess_at) / self.memory).exp() } else { 0.0 };
         self.able = able + (self.able - able) * keep;
         let part = (able / self.able.max(f64::MIN_POSITIVE)).min(1.0);
-        let (crowd, whole) = (self.crowd(), self.sent.per_second() * self.wait.mean);
+        let out = self.calls.values().filter(|c| !c.held).map(|c| self.now - c.arrived).sum::<Time>();
+        let early = (1.0 - self.wait.samples / FEW).max(0.0) * out / self.wait.samples.max(1.0);
+        let most = NORMAL_REACH * self.settings.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        let wait = (self.wait.mean + early).min(most);
+        let (crowd, whole) = (self.crowd(), self.sent.per_second() * wait);
         let usual = part * whole;
         // Small numbers scatter upwards by more than their root.
         let root = usual.max(1.0).sqrt() + SKEW * (crowd.sqrt() - whole.max(1.0).sqrt()).max(0.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -692,10 +692,9 @@
     assert_eq!(refusals, 0);
 }
 
-#[test]
-fn chance_among_few_calls_is_no_jam() {
-    // Guards against the quiet balancers of a large fleet, each of which has two calls out on
-    // average and sheds whenever it has four: together they refused one call in ten of a calm day.
+/// Requests that come by chance, one in `gap` on average, to balancers just started, whose answers take
+/// 0.55 s on average; how many of those that `counted` names are refused, and how many they are.
+fn refused_in_calm(gap: Time, counted: std::ops::Range<u64>) -> (u64, u64) {
     let (mut refusals, mut asked) = (0, 0);
     for seed in 0..20 {
         let mut settings = Settings { tier: 0, ..safe() };
@@ -705,8 +704,8 @@
         let mut gone_by = |mean: Time| -mean * (1.0 - chance.random::<f64>()).ln();
         let mut out: Vec<(Time, u64, u32, Time)> = Vec::new();
         let mut now = 0.0;
-        for id in 0..120_u64 {
-            now += gone_by(0.3);
+        for id in 0..counted.end {
+            now += gone_by(gap);
             out.sort_by(|a, b| a.0.total_cmp(&b.0));
             while out.first().is_some_and(|next| next.0 <= now) {
                 let (at, done, to, took) = out.remove(0);
@@ -716,14 +715,30 @@
             }
             b.run_to(now);
             let actions = b.request_for(id, 6.0);
-            if id >= 20 {
+            if counted.contains(&id) {
                 asked += 1;
-                refusals += usize::from(refused(&actions, id));
+                refusals += u64::from(refused(&actions, id));
             }
             let took = gone_by(0.55);
             out.extend(sends(&actions).iter().map(|(id, to)| (now + took, *id, *to, took)));
         }
     }
+    (refusals, asked)
+}
+
+#[test]
+fn chance_among_few_calls_is_no_jam() {
+    // Guards against the quiet balancers of a large fleet, each of which has two calls out on
+    // average and sheds whenever it has four: together they refused one call in ten of a calm day.
+    let (refusals, asked) = refused_in_calm(0.3, 20..120);
+    assert!(refusals * 30 < asked, "{refusals} of {asked}");
+}
+
+#[test]
+fn the_first_answers_are_the_quick_ones_and_the_calls_still_out_no_jam() {
+    // Guards against a mean of the first answers alone: a balancer that had just started took the
+    // usual number of calls for a jam, and refused one request in seven of its first seconds.
+    let (refusals, asked) = refused_in_calm(0.1, 0..40);
     assert!(refusals * 30 < asked, "{refusals} of {asked}");
 }
 
