--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -585,6 +585,36 @@
     assert!(discovery.requests.lock().unwrap()[2].first.contains("since=2&timeout_ms=2000 "));
 }
 
+#[test]
+fn empty_and_repeated_lists_are_taken_in_and_nothing_goes_to_what_drains() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let serving = entry("s-0", old.address, "SERVING");
+    let draining = entry("s-0", old.address, "DRAINING");
+    let other = entry("s-1", new.address, "DRAINING");
+    let lists = [
+        list(2, true, &[]),
+        // What stands later is newer.
+        list(3, true, &[serving.clone(), draining.clone()]),
+        list(4, true, &[draining, serving.clone(), serving, other]),
+    ];
+    let stage = Arc::new(AtomicUsize::new(0));
+    let told = stage.clone();
+    let discovery = Played::new(move |_, _| {
+        std::thread::sleep(Duration::from_millis(5)); // lest the watch spins
+        Play::Answer(answer("200 OK", &lists[told.load(Ordering::SeqCst)].to_string()))
+    });
+    let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+    for (number, status) in [503, 503, 200].into_iter().enumerate() {
+        stage.store(number, Ordering::SeqCst);
+        let taken_in = format!("since={}&", number + 2);
+        wait_for("list", || discovery.requests.lock().unwrap().iter().any(|m| m.first.contains(&taken_in)));
+        let reply = proxy.ask(&request("order", 2000));
+        assert_eq!(reply.status(), status, "list {number}");
+        assert_eq!(reply.header("retry-after").is_some(), status == 503, "list {number}");
+        assert_eq!((old.count(), new.count()), (usize::from(status == 200), 0), "list {number}");
+    }
+}
+
 #[test]
 fn where_the_list_must_be_asked_for_a_call_that_failed_is_made_again() {
     let (old, new) = (Played::good("old"), Played::good("new"));
