--- a/src/main.rs
+++ b/src/main.rs
@@ -49,6 +49,9 @@
 }
 
 fn main() -> ExitCode {
+    if std::env::var_os("RELAY_CONFIG").is_none() {
+        eprintln!("dewpier: RELAY_CONFIG is not set; taking the embedded sample (deploy/sample.json)");
+    }
     let config = match Config::from_env() {
         Ok(config) => config,
         Err(error) => {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -214,9 +214,16 @@
     std::env::var(name).map_err(|_| ConfigError::Unset(name))
 }
 
-/// Reads the file that the environment names.
+/// The configuration taken when `RELAY_CONFIG` is not set: `deploy/sample.json`, one proxy on 127.0.0.1:8080
+/// with discovery expected at 127.0.0.1:8081 and no backend known until discovery answers.
+pub const SAMPLE: &str = include_str!("../../deploy/sample.json");
+
+/// Reads the file that the environment names, or the embedded sample where it names none.
 fn read<T: DeserializeOwned>() -> Result<T, ConfigError> {
-    let path = var("RELAY_CONFIG")?;
+    let Ok(path) = var("RELAY_CONFIG") else {
+        let path = "the embedded sample (RELAY_CONFIG is not set)".to_string();
+        return serde_json::from_str(SAMPLE).map_err(|error| ConfigError::Json { path, error });
+    };
     let text =
         std::fs::read_to_string(&path).map_err(|error| ConfigError::Read { path: path.clone(), error })?;
     serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })
--- /dev/null
+++ b/tests/fleet/harness/mod.rs
@@ -0,0 +1,46 @@
+//! The fault harness: real proxy processes, fake backends and a fake discovery on loopback ports that the
+//! system chooses, with fault relays between them and signals to the processes.
+//!
+//! Every listener binds port 0 and says which port it got, so no port is chosen before it is bound; a
+//! process restarted elsewhere keeps its old address through the relay in front of it (`Relay::retarget`).
+//! Bounds: `process::MOST_PROCESSES` processes a fleet, `relay::MOST_CONNECTIONS` connections a relay,
+//! `backend::MOST_CONNECTIONS` a backend, and each fleet's deadline, at which all its processes are killed.
+#![allow(dead_code)]
+
+pub mod backend;
+pub mod client;
+pub mod discovery;
+pub mod http;
+pub mod process;
+pub mod relay;
+
+use serde_json::{Value, json};
+
+/// Settings of a proxy of the harness: the site's three classes, `me` of `instances`, and the drain grace
+/// in seconds (a proxy makes no send decided before a drain's news past half of it).
+pub fn settings(me: usize, instances: usize, drain_grace: f64) -> Value {
+    let class = |name: &str, effect: &str, on_time: f64, hard_limit: f64| {
+        json!({"name": name, "effect": effect, "group": "all", "window": 30.0, "on-time": on_time,
+               "hard-limit": hard_limit, "worth": 1.0})
+    };
+    json!({
+        "caps": {"cancel": true, "connect-timeout": 0.5, "idle-close": 30.0, "max-attempts": 3,
+                 "max-open": 1000, "max-retry-after": 1.0, "probing": true, "retry-after": true,
+                 "second-copies": true},
+        "classes": [class("status-check", "free", 0.3, 2.0), class("send-sms", "single_shot", 0.5, 2.0),
+                    class("send-batch", "guarded", 0.5, 2.0)],
+        "me": me, "n-instances": instances, "quantum": 0.005, "registry-mode": "automatic",
+        "projects": [{"name": "default", "quota-per-s": 10000.0}],
+        "rules": {"ask-within": 10.0, "cold": 0.0, "cold-share": 1.0, "drain-grace": drain_grace,
+                  "fall-multiple": 3.0, "tip-after": 1.0},
+        "tier": 1, "zone": "a", "zones": ["a"]
+    })
+}
+
+/// A whole configuration file around `settings`, with `known` as the last known list.
+pub fn config(settings: &Value, known: &Value, seed: u64) -> String {
+    json!({"name": "fleet", "seed": format!("{seed:016x}"),
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+           "known": known, "settings": settings})
+    .to_string()
+}
--- /dev/null
+++ b/tests/fleet/harness/process.rs
@@ -0,0 +1,205 @@
+//! Real proxy processes: started on a port that the system chooses, signalled by id, and ended by id when
+//! the test ends, on panic too.
+//!
+//! Three guards stand between a test and a stray process:
+//! - each child's `Drop` sends SIGKILL and reaps it, which runs on panic as the test unwinds;
+//! - a watchdog SIGKILLs every child still listed when the test's deadline passes, so a child or a test that
+//!   hangs is bounded, and the test then fails on `Fleet::check_deadline`;
+//! - where `setpriv` exists, each child is started with a parent-death signal (SIGKILL), so a test process that
+//!   is itself killed mid-way takes its children with it. The signal follows the thread that started the
+//!   child, which is the test's own.
+//!
+//! A pid stays listed until its child has been reaped, so the watchdog never signals a reused pid.
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Most processes that one fleet may start over its life: a bound on what a faulty test can leave behind.
+pub const MOST_PROCESSES: usize = 64;
+/// How long a process has to say where it listens.
+const START_WITHIN: Duration = Duration::from_secs(10);
+
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+/// The pids not yet reaped, and whether the deadline has struck.
+#[derive(Default)]
+struct Listed {
+    pids: Mutex<Vec<u32>>,
+    struck: AtomicBool,
+}
+
+/// The owner of every process of one test, with its deadline.
+pub struct Fleet {
+    listed: Arc<Listed>,
+    started: usize,
+    /// Dropped with the fleet: tells the watchdog to stand down.
+    _watch: mpsc::Sender<()>,
+    /// Where configuration files go.
+    dir: PathBuf,
+}
+
+/// Why a process could not be started.
+#[derive(Debug)]
+pub enum StartError {
+    /// The fleet has started `MOST_PROCESSES` already.
+    TooMany,
+    /// The program could not be run.
+    Spawn(std::io::Error),
+    /// It ended, or said something else, before saying where it listens.
+    Said(String),
+    /// It said nothing within `START_WITHIN`; it has been killed.
+    Hung,
+}
+
+impl Fleet {
+    /// A fleet whose processes are all SIGKILLed at `deadline` from now at the latest.
+    pub fn new(deadline: Duration) -> Self {
+        let listed = Arc::new(Listed::default());
+        let (watch, stand_down) = mpsc::channel::<()>();
+        let watched = listed.clone();
+        std::thread::spawn(move || {
+            if let Err(RecvTimeoutError::Timeout) = stand_down.recv_timeout(deadline) {
+                watched.struck.store(true, Ordering::SeqCst);
+                for pid in watched.pids.lock().unwrap_or_else(|e| e.into_inner()).iter() {
+                    let _ = signal::kill(Pid::from_raw(*pid as i32), Signal::SIGKILL);
+                }
+            }
+        });
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).to_path_buf();
+        Self { listed, started: 0, _watch: watch, dir }
+    }
+
+    /// Panics if the deadline struck: whatever the test saw after it is not to be trusted.
+    pub fn check_deadline(&self) {
+        assert!(!self.listed.struck.load(Ordering::SeqCst), "the fleet's deadline passed; all were killed");
+    }
+
+    /// Starts the proxy binary with this JSON configuration, listening on a port that the system chooses,
+    /// and with discovery at `discovery`. Returns once it has said where it listens.
+    pub fn proxy(&mut self, config: &str, discovery: SocketAddr) -> Result<Process, StartError> {
+        if self.started >= MOST_PROCESSES {
+            return Err(StartError::TooMany);
+        }
+        self.started += 1;
+        let file = format!("fleet-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
+        let path = self.dir.join(file);
+        std::fs::write(&path, config).map_err(StartError::Spawn)?;
+        let program = env!("CARGO_BIN_EXE_dewpier");
+        let mut command = if Path::new(SETPRIV).exists() {
+            let mut command = Command::new(SETPRIV);
+            command.args(["--pdeathsig", "KILL", "--", program]);
+            command
+        } else {
+            Command::new(program)
+        };
+        command.env("RELAY_CONFIG", &path).env("RELAY_LISTEN", "127.0.0.1:0");
+        command.env("RELAY_DISCOVERY", discovery.to_string());
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(StartError::Spawn)?;
+        self.listed.pids.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+        let stderr = child.stderr.take().expect("stderr is piped");
+        let (lines, said) = mpsc::channel();
+        // Its log is read to the end, lest it block; the first line says where it listens.
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines() {
+                let Ok(line) = line else { break };
+                if lines.send(line).is_err() {
+                    // Nobody listens any more: read on into nothing.
+                }
+            }
+        });
+        let mut process =
+            Process { child: Some(child), listed: self.listed.clone(), address: None, log: said, path };
+        let deadline = Instant::now() + START_WITHIN;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match process.log.recv_timeout(left) {
+                Ok(line) => {
+                    if let Some(address) = line.strip_prefix("dewpier: listening on ") {
+                        let address = address.trim().parse().map_err(|_| StartError::Said(line.clone()))?;
+                        process.address = Some(address);
+                        return Ok(process);
+                    }
+                    if !line.starts_with("dewpier: RELAY_CONFIG") {
+                        return Err(StartError::Said(line));
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => return Err(StartError::Hung),
+                Err(RecvTimeoutError::Disconnected) => return Err(StartError::Said("(ended)".into())),
+            }
+        }
+    }
+}
+
+const SETPRIV: &str = "/usr/bin/setpriv";
+
+/// One started process. Dropping it SIGKILLs and reaps it.
+pub struct Process {
+    child: Option<Child>,
+    listed: Arc<Listed>,
+    address: Option<SocketAddr>,
+    log: mpsc::Receiver<String>,
+    path: PathBuf,
+}
+
+impl Process {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address.expect("a started process has said where it listens")
+    }
+
+    /// Sends a signal, if it has not been reaped. SIGSTOP, SIGCONT, SIGTERM and SIGKILL are the faults used.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = signal::kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Waits up to `within` for it to end by itself; `Some(success)` if it did.
+    pub fn wait_exit(&mut self, within: Duration) -> Option<bool> {
+        let deadline = Instant::now() + within;
+        while Instant::now() < deadline {
+            let child = self.child.as_mut()?;
+            // Reaped under the list's lock, so that the watchdog never signals a pid that is free again.
+            let mut pids = self.listed.pids.lock().unwrap_or_else(|e| e.into_inner());
+            if let Ok(Some(status)) = child.try_wait() {
+                pids.retain(|p| *p != child.id());
+                self.child = None;
+                return Some(status.success());
+            }
+            drop(pids);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Lines of its log that came since the last call.
+    pub fn log_lines(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
+    /// SIGKILLs and reaps it now.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let mut pids = self.listed.pids.lock().unwrap_or_else(|e| e.into_inner());
+            let _ = child.kill();
+            let _ = child.wait();
+            pids.retain(|p| *p != child.id());
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -333,6 +333,23 @@
     }
 }
 
+#[test]
+fn without_a_configuration_file_the_embedded_sample_starts_and_answers() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
+    command.env_remove("RELAY_CONFIG").env("RELAY_LISTEN", "127.0.0.1:0");
+    command.env("RELAY_DISCOVERY", quiet().address.to_string());
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut lines = [String::new(), String::new()];
+    for line in lines.iter_mut() {
+        log.read_line(line).unwrap();
+    }
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(lines[0].contains("taking the embedded sample"), "{lines:?}");
+    assert!(lines[1].starts_with("dewpier: listening on 127.0.0.1:"), "{lines:?}");
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_is_failed_and_not_sent_again() {
     let backends = [Played::new(|_, _| Play::Close), Played::new(|_, _| Play::Close)];
