--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod interface;
 mod logic;
 pub mod proxy;
+pub mod registry;
 pub mod wire;
 
 pub use interface::*;
--- /dev/null
+++ b/src/registry/store.rs
@@ -0,0 +1,459 @@
+//! The list service's state machine: the backends listed, each with its TTL, and the revision that counts
+//! every change. It is what the replicated log is applied to, so it is pure: every command carries the time
+//! at which the leader stamped it, and applying the same commands in the same order gives the same state on
+//! every node.
+//!
+//! Revisions are the `generation` of `PROTOCOL` ("Discovery"): they start at 1 and only grow, by one for each
+//! command that changes the list. A command that changes nothing (a heartbeat, a repeated drain) keeps the
+//! revision, so that watchers are not woken for nothing.
+//!
+//! Time: `at_ms` in commands is the leader's clock, in milliseconds, made monotonic by [`Store::stamp`]: a
+//! clock that jumps back on a new leader cannot make an entry live longer than its TTL after its last
+//! heartbeat as first stamped, and one that jumps ahead expires entries early, never late.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Shortest and longest TTL that a registration may ask for, in milliseconds.
+pub const TTL_MS: [u64; 2] = [500, 300_000];
+/// Most entries listed at once: a list this long is some 1 MiB in JSON, the most that a proxy takes in.
+pub const MOST_ENTRIES: usize = 6_000;
+/// Changes kept for watches that ask `since` a revision; an older `since` gets the whole list.
+pub const MOST_CHANGES: usize = 4_096;
+
+/// Where a backend stands, as `PROTOCOL` names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Lifecycle {
+    /// Takes new requests.
+    Serving,
+    /// Completes what it has, wants nothing new.
+    Draining,
+    /// Gone: only ever sent among changes.
+    Deleted,
+}
+
+/// One backend as a proxy reads it: the `instances` objects of `GET /api/targets`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    /// The same for every proxy.
+    pub instance_id: String,
+    /// Where it listens.
+    pub host_port: SocketAddr,
+    /// Its zone's name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub machine_type: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u32,
+    /// Serving, draining or deleted.
+    pub lifecycle: Lifecycle,
+    /// Its share of traffic against others, in (0, 1000].
+    pub weight: f64,
+    /// Its last start, Unix time in milliseconds; 0 is long ago.
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+/// A change asked of the list, stamped by the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "op", rename_all = "snake_case")]
+pub enum Command {
+    /// Lists a backend, or replaces its listing, with a TTL from now.
+    Register {
+        /// The backend; its lifecycle must be `SERVING` or `DRAINING`.
+        instance: Instance,
+        /// Milliseconds that it stays without a heartbeat, within `TTL_MS`.
+        ttl_ms: u64,
+        /// The leader's time.
+        at_ms: u64,
+    },
+    /// Keeps a listed backend for its TTL from now.
+    Heartbeat {
+        /// Its id.
+        instance_id: String,
+        /// The leader's time.
+        at_ms: u64,
+    },
+    /// Takes a backend off the list.
+    Deregister {
+        /// Its id.
+        instance_id: String,
+    },
+    /// Sets a backend's weight.
+    SetWeight {
+        /// Its id.
+        instance_id: String,
+        /// In (0, 1000].
+        weight: f64,
+    },
+    /// Marks a backend draining: proxies send it nothing new.
+    Drain {
+        /// Its id.
+        instance_id: String,
+    },
+    /// Takes off every backend whose TTL has run out by then.
+    Expire {
+        /// The leader's time.
+        at_ms: u64,
+    },
+}
+
+/// Why a command was not applied. Nothing changes when one is returned.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum StoreError {
+    /// No backend of that id is listed.
+    #[error("no instance {0} is listed")]
+    Unknown(String),
+    /// The TTL lies outside `TTL_MS`.
+    #[error("ttl_ms {0} is outside {min} to {max}", min = TTL_MS[0], max = TTL_MS[1])]
+    Ttl(u64),
+    /// The weight is not a number in (0, 1000].
+    #[error("weight {0} is not in (0, 1000]")]
+    Weight(f64),
+    /// A registration may not say `DELETED`, nor an empty id.
+    #[error("a registration needs an id and a lifecycle of SERVING or DRAINING")]
+    Registration,
+    /// The list holds `MOST_ENTRIES` already.
+    #[error("the list is full ({MOST_ENTRIES} entries)")]
+    Full,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    instance: Instance,
+    ttl_ms: u64,
+    expires_at_ms: u64,
+}
+
+/// What a watch gets: the changes since its revision, or the whole list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The revision that the answer brings the watcher to.
+    pub revision: u64,
+    /// Whether `instances` is the whole list (else only the entries changed, `DELETED` ones among them).
+    pub reset: bool,
+    /// The entries.
+    pub instances: Vec<Instance>,
+}
+
+/// The list and its revision. One owner: the node that applies the log.
+#[derive(Clone, Debug)]
+pub struct Store {
+    revision: u64,
+    listed: BTreeMap<String, Listed>,
+    /// Each change's revision and the entry as it became, oldest first, at most `MOST_CHANGES`.
+    changes: VecDeque<(u64, Instance)>,
+    /// The latest time stamped into a command applied.
+    clock_ms: u64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self { revision: 1, listed: BTreeMap::new(), changes: VecDeque::new(), clock_ms: 0 }
+    }
+}
+
+impl Store {
+    /// The revision: 1 for an empty store that has seen no change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Entries listed.
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Whether nothing is listed.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
+    /// The time that a leader puts into its next command: its clock's reading, but never below a time
+    /// already applied, so that time in the log only grows however the leaders' clocks stand.
+    pub fn stamp(&self, clock_ms: u64) -> u64 {
+        clock_ms.max(self.clock_ms)
+    }
+
+    /// Applies one command; returns the revision after it.
+    pub fn apply(&mut self, command: &Command) -> Result<u64, StoreError> {
+        match command {
+            Command::Register { instance, ttl_ms, at_ms } => {
+                if !(TTL_MS[0]..=TTL_MS[1]).contains(ttl_ms) {
+                    return Err(StoreError::Ttl(*ttl_ms));
+                }
+                check_weight(instance.weight)?;
+                if instance.instance_id.is_empty() || instance.lifecycle == Lifecycle::Deleted {
+                    return Err(StoreError::Registration);
+                }
+                let known = self.listed.get(&instance.instance_id);
+                if known.is_none() && self.listed.len() >= MOST_ENTRIES {
+                    return Err(StoreError::Full);
+                }
+                let same = known.is_some_and(|l| l.instance == *instance);
+                let at = self.time(*at_ms);
+                let listed =
+                    Listed { instance: instance.clone(), ttl_ms: *ttl_ms, expires_at_ms: at + ttl_ms };
+                self.listed.insert(instance.instance_id.clone(), listed);
+                if !same {
+                    self.changed(instance.clone());
+                }
+            }
+            Command::Heartbeat { instance_id, at_ms } => {
+                let at = self.stamp(*at_ms);
+                let listed = self.find(instance_id)?;
+                listed.expires_at_ms = listed.expires_at_ms.max(at + listed.ttl_ms);
+                self.clock_ms = at;
+            }
+            Command::Deregister { instance_id } => {
+                let mut gone = self.listed.remove(instance_id).ok_or_else(|| unknown(instance_id))?;
+                gone.instance.lifecycle = Lifecycle::Deleted;
+                self.changed(gone.instance);
+            }
+            Command::SetWeight { instance_id, weight } => {
+                check_weight(*weight)?;
+                let listed = self.find(instance_id)?;
+                if listed.instance.weight != *weight {
+                    listed.instance.weight = *weight;
+                    let instance = listed.instance.clone();
+                    self.changed(instance);
+                }
+            }
+            Command::Drain { instance_id } => {
+                let listed = self.find(instance_id)?;
+                if listed.instance.lifecycle != Lifecycle::Draining {
+                    listed.instance.lifecycle = Lifecycle::Draining;
+                    let instance = listed.instance.clone();
+                    self.changed(instance);
+                }
+            }
+            Command::Expire { at_ms } => {
+                let at = self.time(*at_ms);
+                let lapsed: Vec<String> = self
+                    .listed
+                    .iter()
+                    .filter(|(_, l)| l.expires_at_ms <= at)
+                    .map(|(id, _)| id.clone())
+                    .collect();
+                for id in lapsed {
+                    if let Some(mut gone) = self.listed.remove(&id) {
+                        gone.instance.lifecycle = Lifecycle::Deleted;
+                        self.changed(gone.instance);
+                    }
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+
+    /// The whole list at the current revision.
+    pub fn full(&self) -> Answer {
+        let instances = self.listed.values().map(|l| l.instance.clone()).collect();
+        Answer { revision: self.revision, reset: true, instances }
+    }
+
+    /// What a watch `since` a revision gets now: `None` while there is nothing newer (the watch waits),
+    /// the changes where all of them since then are kept, else the whole list. A `since` ahead of this
+    /// store (a watcher that has seen a node further on) also waits: nothing older is ever answered.
+    pub fn since(&self, since: u64) -> Option<Answer> {
+        if since >= self.revision {
+            return None;
+        }
+        // With no change kept (as after a restore from a snapshot), nothing can be told as a delta.
+        let kept_from = self.changes.front().map_or(self.revision + 1, |(r, _)| *r);
+        if since + 1 < kept_from {
+            return Some(self.full());
+        }
+        // The latest state of each entry changed since then, once.
+        let mut latest: BTreeMap<&str, &Instance> = BTreeMap::new();
+        for (_, instance) in self.changes.iter().filter(|(r, _)| *r > since) {
+            latest.insert(&instance.instance_id, instance);
+        }
+        let instances = latest.into_values().cloned().collect();
+        Some(Answer { revision: self.revision, reset: false, instances })
+    }
+
+    /// The time of a command, never below one applied before.
+    fn time(&mut self, at_ms: u64) -> u64 {
+        self.clock_ms = self.clock_ms.max(at_ms);
+        self.clock_ms
+    }
+
+    fn find(&mut self, instance_id: &str) -> Result<&mut Listed, StoreError> {
+        self.listed.get_mut(instance_id).ok_or_else(|| unknown(instance_id))
+    }
+
+    fn changed(&mut self, instance: Instance) {
+        self.revision += 1;
+        if self.changes.len() >= MOST_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back((self.revision, instance));
+    }
+}
+
+fn unknown(id: &str) -> StoreError {
+    StoreError::Unknown(id.to_string())
+}
+
+fn check_weight(weight: f64) -> Result<(), StoreError> {
+    match weight > 0.0 && weight <= 1000.0 {
+        true => Ok(()),
+        false => Err(StoreError::Weight(weight)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn instance(n: u8, lifecycle: Lifecycle, weight: f64) -> Instance {
+        Instance {
+            instance_id: format!("s-{n}"),
+            host_port: SocketAddr::from(([127, 0, 0, 1], 7000 + u16::from(n))),
+            zone: "a".into(),
+            machine_type: "m".into(),
+            cell: 0,
+            lifecycle,
+            weight,
+            started_at_ms: 0,
+        }
+    }
+
+    fn command() -> impl Strategy<Value = Command> {
+        let id = (0u8..6).prop_map(|n| format!("s-{n}"));
+        prop_oneof![
+            (0u8..6, any::<bool>(), 1u8..4, 0u64..400_000, 0u64..20_000).prop_map(|(n, d, w, ttl, at)| {
+                let lifecycle = if d { Lifecycle::Draining } else { Lifecycle::Serving };
+                Command::Register { instance: instance(n, lifecycle, f64::from(w)), ttl_ms: ttl, at_ms: at }
+            }),
+            (id.clone(), 0u64..20_000)
+                .prop_map(|(instance_id, at_ms)| Command::Heartbeat { instance_id, at_ms }),
+            id.clone().prop_map(|instance_id| Command::Deregister { instance_id }),
+            (id.clone(), -1i8..4)
+                .prop_map(|(instance_id, w)| Command::SetWeight { instance_id, weight: f64::from(w) }),
+            id.prop_map(|instance_id| Command::Drain { instance_id }),
+            (0u64..40_000).prop_map(|at_ms| Command::Expire { at_ms }),
+        ]
+    }
+
+    proptest! {
+        // A fixed seed, so that every run gives the same verdict.
+        #![proptest_config(ProptestConfig {
+            cases: 512,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(0x5eed_11a7),
+            ..ProptestConfig::default()
+        })]
+
+        /// A watcher that takes every answer in, from any revision it stopped at, holds the whole list, and
+        /// the revision it sees never goes back; a refused command changes nothing.
+        #[test]
+        fn watchers_end_on_the_whole_list_and_revisions_only_grow(
+            commands in proptest::collection::vec(command(), 1..80),
+            stops in proptest::collection::vec(0usize..80, 0..6),
+        ) {
+            let mut store = Store::default();
+            let mut view: BTreeMap<String, Instance> = BTreeMap::new();
+            let mut seen = 0;
+            for (i, command) in commands.iter().enumerate() {
+                let before = (store.revision(), store.full(), store.clock_ms);
+                match store.apply(command) {
+                    Ok(revision) => prop_assert!(revision >= before.0),
+                    Err(_) => prop_assert_eq!((store.revision(), store.full(), store.clock_ms), before),
+                }
+                if stops.contains(&i) {
+                    continue;
+                }
+                if let Some(answer) = store.since(seen) {
+                    prop_assert!(answer.revision > seen);
+                    if answer.reset {
+                        view.clear();
+                    }
+                    for instance in answer.instances {
+                        if instance.lifecycle == Lifecycle::Deleted {
+                            view.remove(&instance.instance_id);
+                        } else {
+                            view.insert(instance.instance_id.clone(), instance);
+                        }
+                    }
+                    seen = answer.revision;
+                }
+                prop_assert_eq!(view.values().cloned().collect::<Vec<_>>(), store.full().instances);
+            }
+        }
+    }
+
+    #[test]
+    fn an_entry_leaves_after_its_ttl_and_a_heartbeat_keeps_it() {
+        let mut store = Store::default();
+        let register =
+            Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 0 };
+        assert_eq!(store.apply(&register), Ok(2));
+        let beat = Command::Heartbeat { instance_id: "s-1".into(), at_ms: 900 };
+        assert_eq!(store.apply(&beat), Ok(2), "a heartbeat changes no revision");
+        assert_eq!(store.apply(&Command::Expire { at_ms: 1800 }), Ok(2), "kept to 1900");
+        assert_eq!(store.apply(&Command::Expire { at_ms: 1900 }), Ok(3));
+        assert!(store.is_empty());
+        let gone = store.since(2).expect("news");
+        assert_eq!((gone.reset, gone.instances[0].lifecycle), (false, Lifecycle::Deleted));
+    }
+
+    #[test]
+    fn time_in_the_log_never_goes_back_so_a_clock_that_jumps_back_keeps_nothing_longer() {
+        let mut store = Store::default();
+        let register =
+            Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 5000 };
+        store.apply(&register).expect("listed");
+        // A new leader whose clock stands an hour behind stamps its commands with the log's time.
+        assert_eq!(store.stamp(1000), 5000);
+        store.apply(&Command::Heartbeat { instance_id: "s-1".into(), at_ms: 1000 }).expect("kept");
+        store.apply(&Command::Expire { at_ms: 6000 }).expect("expired");
+        assert!(store.is_empty(), "gone at 6000, a TTL after its last heartbeat as the log counts time");
+    }
+
+    #[test]
+    fn a_watch_from_ahead_waits_and_an_old_one_gets_the_whole_list() {
+        let mut store = Store::default();
+        assert_eq!(store.since(1), None);
+        assert_eq!(store.since(9), None, "a watcher that saw a node further on is not sent anything older");
+        for n in 0..(MOST_CHANGES + 2) {
+            let weight = 1.0 + (n % 2) as f64;
+            store
+                .apply(&Command::Register {
+                    instance: instance(1, Lifecycle::Serving, weight),
+                    ttl_ms: 1000,
+                    at_ms: 0,
+                })
+                .expect("listed");
+        }
+        let answer = store.since(1).expect("news");
+        assert!(answer.reset && answer.instances.len() == 1);
+        assert!(!store.since(store.revision() - 1).expect("news").reset);
+    }
+
+    #[test]
+    fn bad_commands_are_told_and_change_nothing() {
+        let mut store = Store::default();
+        let bad_ttl =
+            Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 10, at_ms: 0 };
+        assert_eq!(store.apply(&bad_ttl), Err(StoreError::Ttl(10)));
+        let deleted =
+            Command::Register { instance: instance(1, Lifecycle::Deleted, 1.0), ttl_ms: 1000, at_ms: 0 };
+        assert_eq!(store.apply(&deleted), Err(StoreError::Registration));
+        let nan = Command::SetWeight { instance_id: "s-1".into(), weight: f64::NAN };
+        assert!(matches!(store.apply(&nan), Err(StoreError::Weight(_))));
+        assert_eq!(
+            store.apply(&Command::Drain { instance_id: "s-9".into() }),
+            Err(StoreError::Unknown("s-9".into()))
+        );
+        assert_eq!(store.revision(), 1);
+    }
+}
--- a/tests/fleet/harness/process.rs
+++ b/tests/fleet/harness/process.rs
@@ -77,6 +77,11 @@
         Self { listed, started: 0, _watch: watch, dir }
     }
 
+    /// Whether the deadline struck and every process still listed then was killed.
+    pub fn struck(&self) -> bool {
+        self.listed.struck.load(Ordering::SeqCst)
+    }
+
     /// Panics if the deadline struck: whatever the test saw after it is not to be trusted.
     pub fn check_deadline(&self) {
         assert!(!self.listed.struck.load(Ordering::SeqCst), "the fleet's deadline passed; all were killed");
@@ -156,6 +161,11 @@
         self.address.expect("a started process has said where it listens")
     }
 
+    /// Its process id, until it has been reaped.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal, if it has not been reaped. SIGSTOP, SIGCONT, SIGTERM and SIGKILL are the faults used.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
