--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,14 @@
-//! The real proxy: starts it, moves it to another discovery on SIGHUP, and stops it on SIGTERM.
+//! The real proxy: starts it, moves it to another discovery on SIGHUP, and stops it on SIGTERM. With a
+//! subcommand it runs one of the fleet's services instead; with none, the proxy as the bench starts it.
 
 #![forbid(unsafe_code)]
 
+use clap::{Parser, Subcommand};
 use gannetproxy::proxy::config::Config;
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
 use gannetproxy::proxy::server::{self, Server};
+use gannetproxy::registry::{self, RegistryConfig};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
@@ -48,7 +51,53 @@
     Ok(())
 }
 
+/// The program's arguments: none for the proxy, which takes its settings from the environment.
+#[derive(Parser)]
+#[command(
+    name = "dewpier",
+    version,
+    about = "A proxy for services that call services, and its fleet's services"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Service>,
+}
+
+#[derive(Subcommand)]
+enum Service {
+    /// Runs a list-service node: discovery for proxies, and a write API for backends and operators.
+    Registry {
+        /// Its TOML configuration file.
+        #[arg(long)]
+        config: String,
+    },
+}
+
+/// Runs a future on the current thread, as the proxy runs, and tells its error in one line.
+fn on_this_thread(future: impl Future<Output = std::io::Result<()>>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, future)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dewpier: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Some(Service::Registry { config }) = cli.command {
+        let config = match RegistryConfig::read(&config) {
+            Ok(config) => config,
+            Err(error) => {
+                eprintln!("dewpier: {error}");
+                return ExitCode::FAILURE;
+            }
+        };
+        tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+        return on_this_thread(registry::serve(config));
+    }
     if std::env::var_os("RELAY_CONFIG").is_none() {
         eprintln!("dewpier: RELAY_CONFIG is not set; taking the embedded sample (deploy/sample.json)");
     }
@@ -59,14 +108,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(config))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dewpier: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    on_this_thread(run(config))
 }
 
 #[cfg(test)]
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,5 +1,115 @@
 //! The list service: discovery of the project's own (`PROTOCOL`, "Discovery"), with a write API for
-//! backends and operators. `store` is its pure state machine; replication, the HTTP API and the node that
-//! wires them are still to come (`docs/ROADMAP.md`).
+//! backends and operators. `store` is its pure state machine, `node` owns it with its clock and watches,
+//! `api` serves HTTP. Replication through a Raft log and durability on disk are still to come
+//! (`docs/ROADMAP.md`): until then a node is a single one and keeps its list in memory.
 
+pub mod api;
+pub mod node;
 pub mod store;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// A list-service node's configuration file (TOML). Unknown keys are an error, so a typo is told at start.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RegistryConfig {
+    /// Where proxies, backends and operators connect, e.g. `"127.0.0.1:7070"`; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// How often lapsed entries are taken off, in milliseconds (default 100): an entry leaves at most this
+    /// long after its TTL.
+    #[serde(default = "default_expire_ms")]
+    pub expire_every_ms: u64,
+    /// Most watches waiting at once (default 4,096); more are refused with 503 and `Retry-After`.
+    #[serde(default = "default_most_watchers")]
+    pub most_watchers: usize,
+}
+
+fn default_expire_ms() -> u64 {
+    100
+}
+
+fn default_most_watchers() -> usize {
+    4096
+}
+
+/// Why a node's configuration can't be used.
+#[derive(Debug, Error)]
+pub enum RegistryConfigError {
+    /// The file can't be read.
+    #[error("cannot read {path}: {error}")]
+    Read {
+        /// The file.
+        path: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The TOML is malformed, lacks a value or has an unknown key.
+    #[error("{path}: {error}")]
+    Toml {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        error: toml::de::Error,
+    },
+    /// A value out of its range.
+    #[error("{0}")]
+    Value(&'static str),
+}
+
+impl RegistryConfig {
+    /// Reads and checks a configuration file.
+    pub fn read(path: &str) -> Result<Self, RegistryConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| RegistryConfigError::Read { path: path.into(), error })?;
+        let config: Self =
+            toml::from_str(&text).map_err(|error| RegistryConfigError::Toml { path: path.into(), error })?;
+        if !(10..=10_000).contains(&config.expire_every_ms) {
+            return Err(RegistryConfigError::Value("expire_every_ms: from 10 to 10,000"));
+        }
+        if config.most_watchers == 0 {
+            return Err(RegistryConfigError::Value("most_watchers: at least 1"));
+        }
+        Ok(config)
+    }
+}
+
+/// Serves one node until the process ends. Says `dewpier: registry listening on ADDR` on standard error
+/// once it listens. Runs on the current thread's runtime and `LocalSet`.
+pub async fn serve(config: RegistryConfig) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::bind(config.listen).await?;
+    eprintln!("dewpier: registry listening on {}", listener.local_addr()?);
+    let node = Rc::new(node::Node::new());
+    let expiring = node.clone();
+    let every = Duration::from_millis(config.expire_every_ms);
+    tokio::task::spawn_local(async move { expiring.expire_every(every).await });
+    let api = Rc::new(api::Api::new(node, config.most_watchers));
+    loop {
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of descriptors, most often: wait a little rather than spin.
+                tracing::warn!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let api = api.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let api = api.clone();
+                async move { Ok::<_, std::convert::Infallible>(api.handle(request).await) }
+            });
+            if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+                tracing::debug!(%error, "connection ended");
+            }
+        });
+    }
+}
--- a/tests/fleet/harness/mod.rs
+++ b/tests/fleet/harness/mod.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod http;
 pub mod process;
+pub mod registry;
 pub mod relay;
 
 use serde_json::{Value, json};
--- a/tests/fleet/harness/process.rs
+++ b/tests/fleet/harness/process.rs
@@ -90,13 +90,40 @@
     /// Starts the proxy binary with this JSON configuration, listening on a port that the system chooses,
     /// and with discovery at `discovery`. Returns once it has said where it listens.
     pub fn proxy(&mut self, config: &str, discovery: SocketAddr) -> Result<Process, StartError> {
+        let path = self.file("json", config)?;
+        let env = [
+            ("RELAY_CONFIG", path.display().to_string()),
+            ("RELAY_LISTEN", "127.0.0.1:0".into()),
+            ("RELAY_DISCOVERY", discovery.to_string()),
+        ];
+        self.start(&[], &env, "dewpier: listening on ", path)
+    }
+
+    /// Starts a list-service node with this TOML configuration (its `listen` should name port 0).
+    pub fn registry(&mut self, config: &str) -> Result<Process, StartError> {
+        let path = self.file("toml", config)?;
+        let args = ["registry".to_string(), "--config".into(), path.display().to_string()];
+        self.start(&args, &[], "dewpier: registry listening on ", path)
+    }
+
+    fn file(&self, ending: &str, text: &str) -> Result<PathBuf, StartError> {
+        let name = format!("fleet-{}-{}.{ending}", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
+        let path = self.dir.join(name);
+        std::fs::write(&path, text).map_err(StartError::Spawn)?;
+        Ok(path)
+    }
+
+    fn start(
+        &mut self,
+        args: &[String],
+        env: &[(&str, String)],
+        listening: &str,
+        path: PathBuf,
+    ) -> Result<Process, StartError> {
         if self.started >= MOST_PROCESSES {
             return Err(StartError::TooMany);
         }
         self.started += 1;
-        let file = format!("fleet-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
-        let path = self.dir.join(file);
-        std::fs::write(&path, config).map_err(StartError::Spawn)?;
         let program = env!("CARGO_BIN_EXE_dewpier");
         let mut command = if Path::new(SETPRIV).exists() {
             let mut command = Command::new(SETPRIV);
@@ -105,8 +132,10 @@
         } else {
             Command::new(program)
         };
-        command.env("RELAY_CONFIG", &path).env("RELAY_LISTEN", "127.0.0.1:0");
-        command.env("RELAY_DISCOVERY", discovery.to_string());
+        command.args(args).env_remove("RELAY_CONFIG");
+        for (name, value) in env {
+            command.env(name, value);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(StartError::Spawn)?;
         self.listed.pids.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
@@ -128,7 +157,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             match process.log.recv_timeout(left) {
                 Ok(line) => {
-                    if let Some(address) = line.strip_prefix("dewpier: listening on ") {
+                    if let Some(address) = line.strip_prefix(listening) {
                         let address = address.trim().parse().map_err(|_| StartError::Said(line.clone()))?;
                         process.address = Some(address);
                         return Ok(process);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod hard;
 mod harness;
+mod listing;
 
 use harness::backend::Backend;
 use harness::client::{self, Final, Front, Kind, Load};
