--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -11,7 +11,7 @@
 //! - `/v1/heartbeat`, `/v1/deregister`, `/v1/drain`: `{"instanceId":"…"}`;
 //! - `/v1/weight`: `{"instanceId":"…","weight":W}`.
 
-use super::node::Node;
+use super::node::{Node, ProposeError};
 use super::store::{Answer, Command, Instance, StoreError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -90,6 +90,10 @@
 
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Reply {
+        if let Some(why) = self.node.failed() {
+            // Its memory holds a change the disk does not: it must not be read from either.
+            return error(StatusCode::SERVICE_UNAVAILABLE, format!("this node has failed: {why}"));
+        }
         let path = request.uri().path().to_string();
         let query = request.uri().query().unwrap_or("").to_string();
         match (request.method().clone(), path.as_str()) {
@@ -156,8 +160,9 @@
             }
         };
         self.node.propose(command).map_err(|e| match e {
-            StoreError::Unknown(_) => (StatusCode::NOT_FOUND, e.to_string()),
-            _ => (StatusCode::BAD_REQUEST, e.to_string()),
+            ProposeError::Refused(StoreError::Unknown(_)) => (StatusCode::NOT_FOUND, e.to_string()),
+            ProposeError::Refused(_) => (StatusCode::BAD_REQUEST, e.to_string()),
+            ProposeError::Failed(_) => (StatusCode::SERVICE_UNAVAILABLE, e.to_string()),
         })
     }
 }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,9 +1,10 @@
 //! The list service: discovery of the project's own (`PROTOCOL`, "Discovery"), with a write API for
 //! backends and operators. `store` is its pure state machine, `node` owns it with its clock and watches,
-//! `api` serves HTTP. Replication through a Raft log and durability on disk are still to come
-//! (`docs/ROADMAP.md`): until then a node is a single one and keeps its list in memory.
+//! `disk` keeps it in a data directory, `api` serves HTTP. Replication through a Raft log is still to come
+//! (`docs/ROADMAP.md`): until then a node is a single one.
 
 pub mod api;
+pub mod disk;
 pub mod node;
 pub mod store;
 
@@ -29,6 +30,9 @@
     /// Most watches waiting at once (default 4,096); more are refused with 503 and `Retry-After`.
     #[serde(default = "default_most_watchers")]
     pub most_watchers: usize,
+    /// Where the list is kept on disk (`disk` says how); without it, in memory only.
+    #[serde(default)]
+    pub data_dir: Option<std::path::PathBuf>,
 }
 
 fn default_expire_ms() -> u64 {
@@ -83,9 +87,20 @@
 /// Serves one node until the process ends. Says `dewpier: registry listening on ADDR` on standard error
 /// once it listens. Runs on the current thread's runtime and `LocalSet`.
 pub async fn serve(config: RegistryConfig) -> std::io::Result<()> {
+    let node = match &config.data_dir {
+        None => node::Node::new(),
+        Some(dir) => {
+            let (node, recovered) = node::Node::open(dir).map_err(std::io::Error::other)?;
+            let dir = dir.display();
+            tracing::info!(%dir, records = recovered.records, torn_bytes = recovered.torn_bytes,
+                revision = node.revision(), "list rebuilt from disk");
+            node
+        }
+    };
+    let node = Rc::new(node);
+    // Bound only once the list is rebuilt, so that nobody is answered from a store that fails to load.
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     eprintln!("dewpier: registry listening on {}", listener.local_addr()?);
-    let node = Rc::new(node::Node::new());
     let expiring = node.clone();
     let every = Duration::from_millis(config.expire_every_ms);
     tokio::task::spawn_local(async move { expiring.expire_every(every).await });
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -1,15 +1,35 @@
-//! One list-service node: it owns the store, stamps commands with its clock, wakes watches on news and
-//! expires lapsed entries. Commands go through [`Node::propose`], the one place where a replicated log will
-//! stand between the API and the store; this node is a single one and applies them at once.
+//! One list-service node: it owns the store, stamps commands with its clock, writes what changed to disk
+//! before it is acknowledged, wakes watches on news and expires lapsed entries. Commands go through
+//! [`Node::propose`], the one place where a replicated log will stand between the API and the store; this
+//! node is a single one and applies them at once.
+//!
+//! A write that the disk refuses leaves the node failed: it has a change in memory that is not durable, so
+//! from then on it answers nothing but that error, and clients go to another node (fail-stop).
 
+use super::disk::{Disk, DiskError, Recovered};
 use super::store::{Answer, Command, Store, StoreError};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 
+/// Why a command was not acknowledged.
+#[derive(Debug, thiserror::Error)]
+pub enum ProposeError {
+    /// The store refused it; nothing changed.
+    #[error(transparent)]
+    Refused(#[from] StoreError),
+    /// The disk refused it, now or before: the node has failed and acknowledges nothing more.
+    #[error("this node has failed: {0}")]
+    Failed(String),
+}
+
 /// A node's store, clock and watchers.
 pub struct Node {
     store: RefCell<Store>,
+    disk: RefCell<Option<Disk>>,
+    failed: RefCell<Option<String>>,
+    expired: Cell<u64>,
     /// The revision, for watches to wait on.
     revision: watch::Sender<u64>,
 }
@@ -21,39 +41,88 @@
 
 impl Default for Node {
     fn default() -> Self {
-        Self::new()
+        Self::with(Store::default(), None)
     }
 }
 
 impl Node {
-    /// A node with an empty store at revision 1.
+    /// A node kept in memory only, with an empty store at revision 1.
     pub fn new() -> Self {
-        let store = Store::default();
+        Self::default()
+    }
+
+    /// A node whose list is kept in `dir`, rebuilt from what is there.
+    ///
+    /// # Errors
+    /// The disk's, where the directory can't be used or holds what does not read.
+    pub fn open(dir: &Path) -> Result<(Self, Recovered), DiskError> {
+        let (disk, mut store, recovered) = Disk::open(dir)?;
+        store.refresh_all(clock_ms());
+        Ok((Self::with(store, Some(disk)), recovered))
+    }
+
+    fn with(store: Store, disk: Option<Disk>) -> Self {
         let (revision, _) = watch::channel(store.revision());
-        Self { store: RefCell::new(store), revision }
+        let (disk, failed) = (RefCell::new(disk), RefCell::new(None));
+        Self { store: RefCell::new(store), disk, failed, expired: Cell::new(0), revision }
     }
 
-    /// Applies a command, stamped with this node's time where it takes one; returns the revision after it.
+    /// Applies a command, stamped with this node's time where it takes one, and writes it to disk if it
+    /// changed the list; returns the revision after it. An expiry is applied as the deregistrations it
+    /// makes, each a change of its own.
     ///
     /// # Errors
-    /// The store's, where the command is refused; nothing changes then.
-    pub fn propose(&self, mut command: Command) -> Result<u64, StoreError> {
-        let mut store = self.store.borrow_mut();
-        let now = store.stamp(clock_ms());
-        match &mut command {
-            Command::Register { at_ms, .. }
-            | Command::Heartbeat { at_ms, .. }
-            | Command::Expire { at_ms } => {
+    /// `Refused` where the store refuses it (nothing changes), `Failed` where the disk refused this or an
+    /// earlier change.
+    pub fn propose(&self, mut command: Command) -> Result<u64, ProposeError> {
+        if let Some(why) = self.failed.borrow().as_ref() {
+            return Err(ProposeError::Failed(why.clone()));
+        }
+        let now = self.store.borrow().stamp(clock_ms());
+        let commands = match &mut command {
+            Command::Expire { .. } => {
+                let lapsed = self.store.borrow().lapsed(now);
+                self.expired.set(self.expired.get() + lapsed.len() as u64);
+                lapsed.into_iter().map(|instance_id| Command::Deregister { instance_id }).collect()
+            }
+            Command::Register { at_ms, .. } | Command::Heartbeat { at_ms, .. } => {
                 *at_ms = now;
+                vec![command]
+            }
+            Command::Deregister { .. } | Command::SetWeight { .. } | Command::Drain { .. } => vec![command],
+        };
+        let mut revision = self.revision();
+        for command in commands {
+            let mut store = self.store.borrow_mut();
+            let before = store.revision();
+            revision = store.apply(&command)?;
+            if revision == before {
+                continue;
+            }
+            let written =
+                self.disk.borrow_mut().as_mut().map_or(Ok(()), |disk| disk.append(&command, &store));
+            if let Err(error) = written {
+                let why = error.to_string();
+                tracing::error!(%why, "disk write failed; this node stops acknowledging");
+                *self.failed.borrow_mut() = Some(why.clone());
+                return Err(ProposeError::Failed(why));
             }
-            Command::Deregister { .. } | Command::SetWeight { .. } | Command::Drain { .. } => {}
+            drop(store);
+            self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
         }
-        let revision = store.apply(&command)?;
-        drop(store);
-        self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
         Ok(revision)
     }
 
+    /// Entries taken off by expiry since the start.
+    pub fn expired(&self) -> u64 {
+        self.expired.get()
+    }
+
+    /// Why the node has failed, if it has.
+    pub fn failed(&self) -> Option<String> {
+        self.failed.borrow().clone()
+    }
+
     /// The whole list now.
     pub fn full(&self) -> Answer {
         self.store.borrow().full()
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -125,7 +125,7 @@
     Full,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Listed {
     instance: Instance,
     ttl_ms: u64,
@@ -143,6 +143,15 @@
     pub instances: Vec<Instance>,
 }
 
+/// What a snapshot holds: all but the changes kept for watches, which a restarted node does not have (its
+/// watchers get the whole list once).
+#[derive(Serialize, Deserialize)]
+pub struct Snapshot {
+    revision: u64,
+    listed: BTreeMap<String, Listed>,
+    clock_ms: u64,
+}
+
 /// The list and its revision. One owner: the node that applies the log.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -182,6 +191,32 @@
         clock_ms.max(self.clock_ms)
     }
 
+    /// The state to write to disk.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { revision: self.revision, listed: self.listed.clone(), clock_ms: self.clock_ms }
+    }
+
+    /// A store as a snapshot left it.
+    pub fn restore(snapshot: Snapshot) -> Self {
+        let Snapshot { revision, listed, clock_ms } = snapshot;
+        Self { revision, listed, changes: VecDeque::new(), clock_ms }
+    }
+
+    /// The ids whose TTL has run out by `at_ms`, in order: what an expiry then takes off.
+    pub fn lapsed(&self, at_ms: u64) -> Vec<String> {
+        let at = self.stamp(at_ms);
+        self.listed.iter().filter(|(_, l)| l.expires_at_ms <= at).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Gives every entry its whole TTL from `at_ms`, as after a restart: heartbeats are not kept on disk, so
+    /// a node that comes back does not know how long ago each entry last beat, and keeps each at least a TTL.
+    pub fn refresh_all(&mut self, at_ms: u64) {
+        let at = self.time(at_ms);
+        for listed in self.listed.values_mut() {
+            listed.expires_at_ms = listed.expires_at_ms.max(at + listed.ttl_ms);
+        }
+    }
+
     /// Applies one command; returns the revision after it.
     pub fn apply(&mut self, command: &Command) -> Result<u64, StoreError> {
         match command {
@@ -197,7 +232,8 @@
                 if known.is_none() && self.listed.len() >= MOST_ENTRIES {
                     return Err(StoreError::Full);
                 }
-                let same = known.is_some_and(|l| l.instance == *instance);
+                // A new TTL counts as a change too, so that every change that the disk keeps is a revision.
+                let same = known.is_some_and(|l| l.instance == *instance && l.ttl_ms == *ttl_ms);
                 let at = self.time(*at_ms);
                 let listed =
                     Listed { instance: instance.clone(), ttl_ms: *ttl_ms, expires_at_ms: at + ttl_ms };
--- /dev/null
+++ b/tests/fleet/durable.rs
@@ -0,0 +1,101 @@
+//! A list-service node on disk: SIGKILLed after a burst of writes, it comes back with every acknowledged
+//! one; a log damaged in the middle stops its start with a clear error; a write cut short at the end is
+//! cut off and said so.
+
+use crate::harness::process::{Fleet, StartError};
+use crate::harness::registry::{self, registration};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const BURST: usize = 1000;
+
+fn config(dir: &Path) -> String {
+    format!("listen = \"127.0.0.1:0\"\ndata_dir = \"{}\"\n", dir.display())
+}
+
+/// The whole list: its revision and its entries by id, with their lifecycle and weight.
+fn listed(at: SocketAddr) -> (u64, Vec<(String, String, f64)>) {
+    let (status, list) =
+        registry::call(at, "GET", "/api/targets", &Value::Null).expect("the list is answered");
+    assert_eq!(status, 200);
+    let entry = |i: &Value| {
+        let text = |k: &str| i[k].as_str().unwrap_or_default().to_string();
+        (text("instanceId"), text("lifecycle"), i["weight"].as_f64().unwrap_or_default())
+    };
+    let instances = list["instances"].as_array().map(|a| a.iter().map(entry).collect()).unwrap_or_default();
+    (list["generation"].as_u64().unwrap_or_default(), instances)
+}
+
+#[test]
+fn a_killed_node_keeps_every_acknowledged_write_and_damage_is_told() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("durable-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    let mut fleet = Fleet::new(Duration::from_secs(60));
+    let mut node = fleet.registry(&config(&dir)).expect("the list service starts");
+    let at = node.address();
+
+    // A burst of registrations, then drains and weights on some: each acknowledged with its revision.
+    let start = Instant::now();
+    let mut last = 0;
+    for n in 0..BURST {
+        let address = SocketAddr::from(([127, 0, 0, 1], 20_000 + n as u16));
+        let (status, body) =
+            registry::call(at, "POST", "/v1/register", &registration(&format!("s-{n}"), address, 300_000))
+                .expect("a registration is answered");
+        assert_eq!(status, 200, "{body}");
+        last = body["revision"].as_u64().expect("a revision");
+    }
+    let rate = BURST as f64 / start.elapsed().as_secs_f64();
+    for n in (0..BURST).step_by(10) {
+        let drained = registry::call(at, "POST", "/v1/drain", &json!({"instanceId": format!("s-{n}")}));
+        let weighed = registry::call(
+            at,
+            "POST",
+            "/v1/weight",
+            &json!({"instanceId": format!("s-{}", n + 1), "weight": 2.5}),
+        );
+        assert_eq!(drained.map(|(s, _)| s), Some(200));
+        last = weighed.expect("a weight is answered").1["revision"].as_u64().expect("a revision");
+    }
+    let before = listed(at);
+    assert_eq!(before.0, last);
+    assert_eq!(before.1.len(), BURST);
+    eprintln!("durable: {BURST} registrations acknowledged at {rate:.0} a second, each fsynced");
+
+    // Killed with no warning, and started again on the same directory.
+    node.signal(Signal::SIGKILL);
+    assert_eq!(node.wait_exit(Duration::from_secs(5)), Some(false));
+    let again = fleet.registry(&config(&dir)).expect("the list service starts again");
+    assert_eq!(listed(again.address()), before, "every acknowledged write is back, at the same revision");
+    drop(again);
+
+    // A write cut short at the end: cut off at start, and nothing acknowledged is missing.
+    let log = dir.join("commands.log");
+    std::fs::OpenOptions::new()
+        .append(true)
+        .open(&log)
+        .and_then(|mut f| f.write_all(&[200, 0, 0, 0, 1]))
+        .expect("torn");
+    let torn = fleet.registry(&config(&dir)).expect("a torn last record does not stop the start");
+    assert_eq!(listed(torn.address()), before);
+    drop(torn);
+
+    // One byte changed in the middle: the start stops, naming the file and the byte.
+    let mut bytes = std::fs::read(&log).expect("the log reads");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x20;
+    std::fs::write(&log, &bytes).expect("the log is written");
+    match fleet.registry(&config(&dir)) {
+        Err(StartError::Said(line)) => {
+            assert!(line.contains("commands.log") && line.contains("at byte"), "{line}")
+        }
+        Err(other) => panic!("not told clearly: {other:?}"),
+        Ok(_) => panic!("a damaged log was taken in"),
+    }
+    fleet.check_deadline();
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/tests/fleet/harness/process.rs
+++ b/tests/fleet/harness/process.rs
@@ -162,7 +162,8 @@
                         process.address = Some(address);
                         return Ok(process);
                     }
-                    if !line.starts_with("dewpier: RELAY_CONFIG") {
+                    // Its own words before that are an error; structured log lines are passed over.
+                    if line.starts_with("dewpier: ") && !line.starts_with("dewpier: RELAY_CONFIG") {
                         return Err(StartError::Said(line));
                     }
                 }
