Let the proxy's discovery fail over between several list-service addresses

Change: RELAY_DISCOVERY (and discovery in the file, and on SIGHUP) takes up to 7 addresses separated by commas. With several, a failed call moves on to the next address on a new connection after the backoff of 50 ms to 1 s, drawn between half and all of it (seeded), and a whole list older than the one known is refused, since the nodes count one revision. With one address nothing changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -38,9 +38,10 @@
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
             match Config::moved_discovery() {
-                Ok(address) => {
-                    eprintln!("dewpier: discovery is at {address}");
-                    discovery.move_to(address);
+                Ok(addresses) => {
+                    let named: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+                    eprintln!("dewpier: discovery is at {}", named.join(","));
+                    discovery.move_to(addresses);
                 }
                 Err(error) => eprintln!("dewpier: not reloaded: {error}"),
             }
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -47,8 +47,9 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
+    /// Where discovery is: one address, as the bench gives it, or the nodes of one list service, tried in
+    /// turn (`discovery::Discovery`).
+    pub discovery: Vec<SocketAddr>,
     /// For the module's random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -229,6 +230,18 @@
     serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })
 }
 
+/// Most addresses of discovery: the nodes of one list service, 3 or 5, and room for a move.
+pub const MOST_DISCOVERY: usize = 7;
+
+/// One `address:port`, or several separated by commas.
+fn addresses(name: &str, text: &str) -> Result<Vec<SocketAddr>, ConfigError> {
+    let parsed: Result<Vec<SocketAddr>, _> = text.split(',').map(|a| a.trim().parse()).collect();
+    match parsed {
+        Ok(list) if !list.is_empty() && list.len() <= MOST_DISCOVERY => Ok(list),
+        _ => Err(bad(name, "address:port, or up to 7 of them separated by commas", text)),
+    }
+}
+
 /// A span of time that fits a `Duration`.
 fn span(name: &str, seconds: f64) -> Result<Duration, ConfigError> {
     Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
@@ -238,23 +251,23 @@
     /// Reads the environment and the file that it names.
     pub fn from_env() -> Result<Self, ConfigError> {
         let file: File = read()?;
-        let address = |name: &'static str, in_file: &Option<String>| {
-            let text = var(name).or_else(|unset| in_file.clone().ok_or(unset))?;
-            text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
+        let text = |name: &'static str, in_file: &Option<String>| {
+            var(name).or_else(|unset| in_file.clone().ok_or(unset))
         };
-        let listen = address("RELAY_LISTEN", &file.listen)?;
-        let discovery = address("RELAY_DISCOVERY", &file.discovery)?;
+        let listen = text("RELAY_LISTEN", &file.listen)?;
+        let listen = listen.parse::<SocketAddr>().map_err(|_| bad("RELAY_LISTEN", "address:port", listen))?;
+        let discovery = addresses("RELAY_DISCOVERY", &text("RELAY_DISCOVERY", &file.discovery)?)?;
         Self::from_file(file, listen, discovery)
     }
 
     /// Where the file now says that discovery is: it may be replaced while the proxy runs, and the
     /// environment still names the first address.
-    pub fn moved_discovery() -> Result<SocketAddr, ConfigError> {
+    pub fn moved_discovery() -> Result<Vec<SocketAddr>, ConfigError> {
         let Moved { discovery } = read()?;
-        discovery.parse().map_err(|_| bad("discovery", "address:port", discovery))
+        addresses("discovery", &discovery)
     }
 
-    fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
+    fn from_file(file: File, listen: SocketAddr, discovery: Vec<SocketAddr>) -> Result<Self, ConfigError> {
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
         let mut zones = raw.zones;
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -24,6 +26,9 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// Where discovery has several addresses, the waits are drawn between this part of the backoff and all of
+/// it ("equal jitter"), so that proxies that lost the same node do not all come back to the next together.
+const JITTER_FLOOR: f64 = 0.5;
 /// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
 /// memory, of the 32 MB that a proxy may have.
 const MOST_BYTES: usize = 1 << 20;
@@ -157,8 +162,17 @@
 }
 
 /// Keeps the engine's list fresh.
+///
+/// With one address, as the bench gives it, that agent is asked and asked again. With several, the nodes of
+/// one list service, a call that fails moves on to the next address after a backoff that doubles from 50 ms
+/// to 1 s, jittered; a whole list older than the one known is refused there, since all nodes count one
+/// revision and a node that is behind must not take the proxy back. While none answers, the last list holds.
 pub struct Discovery {
-    address: Cell<SocketAddr>,
+    addresses: RefCell<Vec<SocketAddr>>,
+    /// The place in `addresses` of the one asked now.
+    current: Cell<usize>,
+    /// For the jitter of backoffs; seeded from the proxy's seed.
+    jitter: RefCell<SmallRng>,
     /// The address is a new one.
     moved: Notify,
     engine: Rc<Engine>,
@@ -174,7 +188,7 @@
 impl Discovery {
     /// Hands the known list to the engine, and starts the watch where no one has to ask for it.
     pub fn start(
-        address: SocketAddr,
+        addresses: Vec<SocketAddr>,
         known: RawList,
         wire: &WireSettings,
         settings: &Settings,
@@ -182,8 +196,13 @@
     ) -> Rc<Self> {
         let zones = wire.zones.clone();
         let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
+        let seed = addresses
+            .iter()
+            .fold(u64::from(settings.me as u32), |h, a| h.rotate_left(7) ^ number_of(&a.to_string()) as u64);
         let discovery = Rc::new(Self {
-            address: Cell::new(address),
+            addresses: RefCell::new(addresses),
+            current: Cell::new(0),
+            jitter: RefCell::new(SmallRng::seed_from_u64(seed)),
             moved: Notify::new(),
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
@@ -201,14 +220,35 @@
         discovery
     }
 
-    /// Discovery is at `address` from now on. A call that is out is made again there: the old
+    /// Discovery is at `addresses` from now on. A call that is out is made again there: the old
     /// address may have nothing more to tell.
-    pub fn move_to(&self, address: SocketAddr) {
-        if self.address.replace(address) != address {
+    pub fn move_to(&self, addresses: Vec<SocketAddr>) {
+        if self.addresses.replace(addresses.clone()) != addresses {
+            self.current.set(0);
             self.moved.notify_one();
         }
     }
 
+    /// The address asked now.
+    fn address(&self) -> SocketAddr {
+        let addresses = self.addresses.borrow();
+        addresses[self.current.get() % addresses.len().max(1)]
+    }
+
+    /// Whether there are several nodes to fail over between.
+    fn several(&self) -> bool {
+        self.addresses.borrow().len() > 1
+    }
+
+    /// After a failed call: on to the next node, and the wait before asking it.
+    fn fail_over(&self, backoff: Duration) -> Duration {
+        if !self.several() {
+            return backoff;
+        }
+        self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
+        backoff.mul_f64(self.jitter.borrow_mut().random_range(JITTER_FLOOR..=1.0))
+    }
+
     /// Begins a watch, if none is on, or ends it.
     pub fn watch(self: &Rc<Self>, on: bool) {
         if on && !self.watching.replace(true) {
@@ -258,8 +298,11 @@
             if good {
                 backoff = BACKOFF[0];
             } else {
+                // Another node is asked on a new connection.
+                peer = if self.several() { None } else { peer };
+                let wait = self.fail_over(backoff);
                 tokio::select! {
-                    () = tokio::time::sleep(backoff) => {}
+                    () = tokio::time::sleep(wait) => {}
                     () = self.moved.notified() => backoff = BACKOFF[0],
                 }
                 backoff = (2 * backoff).min(BACKOFF[1]);
@@ -290,9 +333,9 @@
         let called = tokio::time::timeout(wait, async {
             let mut peer = match kept.take().and_then(|peer| peer.checked().ok()) {
                 Some(peer) => peer,
-                None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
+                None => backend::connect(self.address(), PATIENCE).await.map_err(CallError::Connect)?,
             };
-            let request = Request::get(path).header("host", self.address.get().to_string());
+            let request = Request::get(path).header("host", self.address().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
@@ -307,8 +350,10 @@
             *kept = peer.checked().ok();
             let list: RawList = serde_json::from_slice(&body.to_bytes())?;
             // Taken in, old changes would bring back backends that have since drained. A discovery
-            // that has begun anew tells the whole list.
-            match list.reset || list.generation >= self.generation.get() {
+            // that has begun anew tells the whole list; nodes of one list service count one revision,
+            // and one that is behind is not taken in even whole.
+            let anew = list.reset && !self.several();
+            match anew || list.generation >= self.generation.get() {
                 true => Ok(list),
                 false => Err(CallError::Stale(list.generation)),
             }
--- a/tests/fleet/harness/process.rs
+++ b/tests/fleet/harness/process.rs
@@ -90,11 +90,17 @@
     /// Starts the proxy binary with this JSON configuration, listening on a port that the system chooses,
     /// and with discovery at `discovery`. Returns once it has said where it listens.
     pub fn proxy(&mut self, config: &str, discovery: SocketAddr) -> Result<Process, StartError> {
+        self.proxy_of(config, &[discovery])
+    }
+
+    /// The same, with discovery at several addresses, tried in turn.
+    pub fn proxy_of(&mut self, config: &str, discovery: &[SocketAddr]) -> Result<Process, StartError> {
         let path = self.file("json", config)?;
+        let named: Vec<String> = discovery.iter().map(ToString::to_string).collect();
         let env = [
             ("RELAY_CONFIG", path.display().to_string()),
             ("RELAY_LISTEN", "127.0.0.1:0".into()),
-            ("RELAY_DISCOVERY", discovery.to_string()),
+            ("RELAY_DISCOVERY", named.join(",")),
         ];
         self.start(&[], &env, "dewpier: listening on ", path)
     }
--- a/tests/fleet/listing.rs
+++ b/tests/fleet/listing.rs
@@ -111,3 +111,72 @@
     assert_eq!(twice, 0, "no send-sms twice");
     assert_eq!(list.wait_exit(Duration::from_secs(5)), Some(false), "the list service was killed");
 }
+
+/// Two proxies whose discovery has two addresses: the first node is cut off mid-traffic, and a drain told
+/// by the list service after that reaches them through the second.
+#[test]
+fn proxies_fail_over_to_the_next_node_and_still_hear_of_a_drain() {
+    const PROXIES: usize = 2;
+    const DRAINED: usize = 1;
+    /// From the list service's acknowledging the drain to the last send that may reach the backend: a
+    /// failed watch (up to the 2.6 s that a silent one is waited for is not met here: the cut is a reset),
+    /// the backoff of at most 1 s, the watch's answer, and half the drain grace (0.4 s).
+    const DRAIN_BOUND: Duration = Duration::from_millis(1500);
+    let mut fleet = Fleet::new(Duration::from_secs(60));
+    let list = fleet.registry("listen = \"127.0.0.1:0\"\n").expect("the list service starts");
+    let first = crate::harness::relay::Relay::start(list.address()).expect("a relay starts");
+    let backends: Vec<Backend> = (0..3)
+        .map(|n| Backend::start(&format!("b-{n}"), Duration::from_millis(5)).expect("a backend starts"))
+        .collect();
+    let _beats: Vec<Heartbeats> = backends
+        .iter()
+        .map(|b| Heartbeats::start(list.address(), b.name(), b.address(), 5000, Duration::from_millis(500)))
+        .collect();
+    let empty = json!({"generation": 0, "reset": true, "instances": []});
+    let proxies: Vec<Process> = (0..PROXIES)
+        .map(|me| {
+            let config = harness::config(&harness::settings(me, PROXIES, 0.4), &empty, 0x5a1 + me as u64);
+            fleet.proxy_of(&config, &[first.address(), list.address()]).expect("a proxy starts")
+        })
+        .collect();
+    let front = Front::new(proxies.iter().map(Process::address).collect());
+    let start = Instant::now();
+    let load = Load {
+        clients: 4,
+        most: 3000,
+        until: start + Duration::from_millis(3500),
+        left_ms: 1500,
+        pause: Duration::from_millis(2),
+    };
+    let traffic = {
+        let front = front.clone();
+        std::thread::spawn(move || client::run(&front, load))
+    };
+    std::thread::sleep(Duration::from_millis(600));
+    first.set(crate::harness::relay::Fault::Cut);
+    std::thread::sleep(Duration::from_millis(300));
+    let drain =
+        registry::call(list.address(), "POST", "/v1/drain", &json!({"instanceId": backends[DRAINED].name()}));
+    assert_eq!(drain.map(|(status, _)| status), Some(200));
+    let drained = Instant::now();
+    let records = traffic.join().expect("the clients end");
+    fleet.check_deadline();
+
+    let served = records.iter().filter(|r| r.end == Final::Answered(200)).count();
+    let late: Vec<Duration> = backends[DRAINED]
+        .seen()
+        .iter()
+        .filter(|s| s.at > drained + DRAIN_BOUND)
+        .map(|s| s.at - drained)
+        .collect();
+    let latest =
+        backends[DRAINED].seen().iter().map(|s| s.at).max().map(|at| at.saturating_duration_since(drained));
+    eprintln!(
+        "failover: {} requests, {served} served; last send to the drained backend {latest:?} after the drain",
+        records.len()
+    );
+    assert!(first.counts().reset.load(std::sync::atomic::Ordering::Relaxed) > 0, "the first node was cut");
+    assert!(records.iter().all(|r| matches!(r.end, Final::Answered(_))), "every request answered");
+    assert!(served * 100 >= records.len() * 98, "{served} of {} served", records.len());
+    assert!(late.is_empty(), "sends to the drained backend past {DRAIN_BOUND:?}: {late:?}");
+}
