--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod interface;
+pub mod lease;
 mod logic;
 pub mod proxy;
 pub mod registry;
--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -9,7 +9,10 @@
 //! 400/404 `{"error":"…"}` with nothing changed:
 //! - `/v1/register`: an instance object as discovery lists it, plus `ttlMs`;
 //! - `/v1/heartbeat`, `/v1/deregister`, `/v1/drain`: `{"instanceId":"…"}`;
-//! - `/v1/weight`: `{"instanceId":"…","weight":W}`.
+//! - `/v1/weight`: `{"instanceId":"…","weight":W}`;
+//! - `/v1/lease/acquire`: `{"name":"…","holder":"…","ttlMs":T}`, answered `{"revision":N,"token":K}`, or 409
+//!   with the holder where another holds it unexpired;
+//! - `/v1/lease/keepalive` and `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost.
 
 use super::node::{Node, ProposeError};
 use super::store::{Answer, Command, Instance, StoreError};
@@ -38,6 +41,18 @@
     most_watchers: usize,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+struct LeaseCall {
+    name: String,
+    #[serde(default)]
+    holder: Option<String>,
+    #[serde(default)]
+    ttl_ms: Option<u64>,
+    #[serde(default)]
+    token: Option<u64>,
+}
+
 /// `deny_unknown_fields` does not go with `flatten` in serde: unknown fields of a registration are ignored.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -104,8 +119,12 @@
                     Ok(body) => body.to_bytes(),
                     Err(_) => return error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 64 KiB"),
                 };
-                match self.write(write, &body) {
-                    Ok(revision) => json_reply(StatusCode::OK, json!({"revision": revision}).to_string()),
+                let answer = match write.strip_prefix("/v1/lease/") {
+                    Some(call) => self.lease(call, &body),
+                    None => self.write(write, &body).map(|revision| json!({"revision": revision})),
+                };
+                match answer {
+                    Ok(body) => json_reply(StatusCode::OK, body.to_string()),
                     Err((status, text)) => error(status, text),
                 }
             }
@@ -137,6 +156,39 @@
         }
     }
 
+    /// Applies a lease call; a refusal is its status and its reason.
+    fn lease(&self, call: &str, body: &[u8]) -> Result<serde_json::Value, (StatusCode, String)> {
+        let LeaseCall { name, holder, ttl_ms, token } =
+            serde_json::from_slice(body).map_err(|e| (StatusCode::BAD_REQUEST, e.to_string()))?;
+        let missing = |what: &str| (StatusCode::BAD_REQUEST, format!("{what} is missing"));
+        let command = match call {
+            "acquire" => Command::Acquire {
+                name: name.clone(),
+                holder: holder.ok_or_else(|| missing("holder"))?,
+                ttl_ms: ttl_ms.ok_or_else(|| missing("ttlMs"))?,
+                at_ms: 0,
+            },
+            "keepalive" => Command::KeepAlive {
+                name: name.clone(),
+                token: token.ok_or_else(|| missing("token"))?,
+                at_ms: 0,
+            },
+            "release" => {
+                Command::Release { name: name.clone(), token: token.ok_or_else(|| missing("token"))? }
+            }
+            _ => return Err((StatusCode::NOT_FOUND, format!("no such call: /v1/lease/{call}"))),
+        };
+        let revision = self.node.propose(command).map_err(|e| match e {
+            ProposeError::Refused(StoreError::Held { .. } | StoreError::Lost(_)) => {
+                (StatusCode::CONFLICT, e.to_string())
+            }
+            ProposeError::Refused(_) => (StatusCode::BAD_REQUEST, e.to_string()),
+            ProposeError::Failed(_) => (StatusCode::SERVICE_UNAVAILABLE, e.to_string()),
+        })?;
+        let token = self.node.store().lease(&name).map(|g| g.token);
+        Ok(json!({"revision": revision, "token": token}))
+    }
+
     /// Applies a write; a refusal is its status and its reason.
     fn write(&self, path: &str, body: &[u8]) -> Result<u64, (StatusCode, String)> {
         let bad = |e: serde_json::Error| (StatusCode::BAD_REQUEST, e.to_string());
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -85,11 +85,17 @@
                 self.expired.set(self.expired.get() + lapsed.len() as u64);
                 lapsed.into_iter().map(|instance_id| Command::Deregister { instance_id }).collect()
             }
-            Command::Register { at_ms, .. } | Command::Heartbeat { at_ms, .. } => {
+            Command::Register { at_ms, .. }
+            | Command::Heartbeat { at_ms, .. }
+            | Command::Acquire { at_ms, .. }
+            | Command::KeepAlive { at_ms, .. } => {
                 *at_ms = now;
                 vec![command]
             }
-            Command::Deregister { .. } | Command::SetWeight { .. } | Command::Drain { .. } => vec![command],
+            Command::Deregister { .. }
+            | Command::SetWeight { .. }
+            | Command::Drain { .. }
+            | Command::Release { .. } => vec![command],
         };
         let mut revision = self.revision();
         for command in commands {
@@ -113,6 +119,11 @@
         Ok(revision)
     }
 
+    /// The store, to read from.
+    pub fn store(&self) -> std::cell::Ref<'_, Store> {
+        self.store.borrow()
+    }
+
     /// Entries taken off by expiry since the start.
     pub fn expired(&self) -> u64 {
         self.expired.get()
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -22,6 +22,8 @@
 pub const MOST_ENTRIES: usize = 6_000;
 /// Changes kept for watches that ask `since` a revision; an older `since` gets the whole list.
 pub const MOST_CHANGES: usize = 4_096;
+/// Most leases held at once: duties are few, this bounds what a faulty client can make.
+pub const MOST_LEASES: usize = 1_024;
 
 /// Where a backend stands, as `PROTOCOL` names it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,6 +105,35 @@
         /// The leader's time.
         at_ms: u64,
     },
+    /// Grants the lease `name` to `holder` for `ttl_ms` from now, if nobody else holds it unexpired. Each
+    /// grant's fencing token is the revision that it makes, so tokens only grow; a holder that asks again
+    /// while it holds gets a new grant, and its old token is void. Renewals go by `KeepAlive`.
+    Acquire {
+        /// The duty's name.
+        name: String,
+        /// Who asks: any text that names one process.
+        holder: String,
+        /// Milliseconds, within `TTL_MS`.
+        ttl_ms: u64,
+        /// The leader's time.
+        at_ms: u64,
+    },
+    /// Renews a lease held under `token` for its TTL from now; refused once it has run out.
+    KeepAlive {
+        /// The duty's name.
+        name: String,
+        /// The token of the grant.
+        token: u64,
+        /// The leader's time.
+        at_ms: u64,
+    },
+    /// Gives a lease up, so that another may take it at once.
+    Release {
+        /// The duty's name.
+        name: String,
+        /// The token of the grant.
+        token: u64,
+    },
 }
 
 /// Why a command was not applied. Nothing changes when one is returned.
@@ -123,6 +154,37 @@
     /// The list holds `MOST_ENTRIES` already.
     #[error("the list is full ({MOST_ENTRIES} entries)")]
     Full,
+    /// The lease is held by another, unexpired.
+    #[error("lease {name} is held by {holder} until {expires_at_ms} (token {token})")]
+    Held {
+        /// The duty's name.
+        name: String,
+        /// Who holds it.
+        holder: String,
+        /// Its token.
+        token: u64,
+        /// When it runs out, unless renewed, on the log's clock.
+        expires_at_ms: u64,
+    },
+    /// The lease is not held under that token any more (run out, released or granted anew).
+    #[error("lease {0} is not held under that token")]
+    Lost(String),
+    /// `MOST_LEASES` are held already.
+    #[error("too many leases ({MOST_LEASES})")]
+    TooManyLeases,
+}
+
+/// One grant of a lease, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Who holds it.
+    pub holder: String,
+    /// Its fencing token: the revision at which it was granted.
+    pub token: u64,
+    /// Its TTL in milliseconds.
+    pub ttl_ms: u64,
+    /// When it runs out unless renewed, on the log's clock.
+    pub expires_at_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -150,6 +212,8 @@
     revision: u64,
     listed: BTreeMap<String, Listed>,
     clock_ms: u64,
+    #[serde(default)]
+    leases: BTreeMap<String, Grant>,
 }
 
 /// The list and its revision. One owner: the node that applies the log.
@@ -161,11 +225,14 @@
     changes: VecDeque<(u64, Instance)>,
     /// The latest time stamped into a command applied.
     clock_ms: u64,
+    /// Leases by name; one that has run out stays until it is granted anew or released.
+    leases: BTreeMap<String, Grant>,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        Self { revision: 1, listed: BTreeMap::new(), changes: VecDeque::new(), clock_ms: 0 }
+        let (listed, changes, leases) = (BTreeMap::new(), VecDeque::new(), BTreeMap::new());
+        Self { revision: 1, listed, changes, clock_ms: 0, leases }
     }
 }
 
@@ -193,13 +260,14 @@
 
     /// The state to write to disk.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot { revision: self.revision, listed: self.listed.clone(), clock_ms: self.clock_ms }
+        let (listed, leases) = (self.listed.clone(), self.leases.clone());
+        Snapshot { revision: self.revision, listed, clock_ms: self.clock_ms, leases }
     }
 
     /// A store as a snapshot left it.
     pub fn restore(snapshot: Snapshot) -> Self {
-        let Snapshot { revision, listed, clock_ms } = snapshot;
-        Self { revision, listed, changes: VecDeque::new(), clock_ms }
+        let Snapshot { revision, listed, clock_ms, leases } = snapshot;
+        Self { revision, listed, changes: VecDeque::new(), clock_ms, leases }
     }
 
     /// The ids whose TTL has run out by `at_ms`, in order: what an expiry then takes off.
@@ -215,6 +283,15 @@
         for listed in self.listed.values_mut() {
             listed.expires_at_ms = listed.expires_at_ms.max(at + listed.ttl_ms);
         }
+        // Keep-alives are not on disk either; a longer lease delays a handover and never makes two holders.
+        for grant in self.leases.values_mut() {
+            grant.expires_at_ms = grant.expires_at_ms.max(at + grant.ttl_ms);
+        }
+    }
+
+    /// The grant of lease `name`, run out or not.
+    pub fn lease(&self, name: &str) -> Option<&Grant> {
+        self.leases.get(name)
     }
 
     /// Applies one command; returns the revision after it.
@@ -270,6 +347,56 @@
                     self.changed(instance);
                 }
             }
+            Command::Acquire { name, holder, ttl_ms, at_ms } => {
+                if !(TTL_MS[0]..=TTL_MS[1]).contains(ttl_ms) {
+                    return Err(StoreError::Ttl(*ttl_ms));
+                }
+                let at = self.stamp(*at_ms);
+                match self.leases.get_mut(name) {
+                    Some(grant) if grant.expires_at_ms > at && grant.holder != *holder => {
+                        return Err(StoreError::Held {
+                            name: name.clone(),
+                            holder: grant.holder.clone(),
+                            token: grant.token,
+                            expires_at_ms: grant.expires_at_ms,
+                        });
+                    }
+                    // Its own holder asking again gets a new grant too: a release of the old one that is
+                    // still on its way must not end the new one (the model check found that crossing).
+                    held => {
+                        if held.is_none() && self.leases.len() >= MOST_LEASES {
+                            return Err(StoreError::TooManyLeases);
+                        }
+                        self.revision += 1;
+                        let grant = Grant {
+                            holder: holder.clone(),
+                            token: self.revision,
+                            ttl_ms: *ttl_ms,
+                            expires_at_ms: at + ttl_ms,
+                        };
+                        self.leases.insert(name.clone(), grant);
+                    }
+                }
+                self.clock_ms = at;
+            }
+            Command::KeepAlive { name, token, at_ms } => {
+                let at = self.stamp(*at_ms);
+                match self.leases.get_mut(name) {
+                    Some(grant) if grant.token == *token && grant.expires_at_ms > at => {
+                        grant.expires_at_ms = grant.expires_at_ms.max(at + grant.ttl_ms);
+                    }
+                    _ => return Err(StoreError::Lost(name.clone())),
+                }
+                self.clock_ms = at;
+            }
+            Command::Release { name, token } => {
+                match self.leases.get(name) {
+                    Some(grant) if grant.token == *token => {}
+                    _ => return Err(StoreError::Lost(name.clone())),
+                }
+                self.leases.remove(name);
+                self.revision += 1;
+            }
             Command::Expire { at_ms } => {
                 let at = self.time(*at_ms);
                 let lapsed: Vec<String> = self
