Wake no list watcher for a revision that changed no entry

Cause: lease grants and releases take revisions of their own, and Store::since answered every watcher with an empty change for each, so 300 proxies would each make a call for nothing per grant.

--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -422,7 +422,7 @@
         Answer { revision: self.revision, reset: true, instances }
     }
 
-    /// What a watch `since` a revision gets now: `None` while there is nothing newer (the watch waits),
+    /// What a watch `since` a revision gets now: `None` while no entry has changed since (the watch waits),
     /// the changes where all of them since then are kept, else the whole list. A `since` ahead of this
     /// store (a watcher that has seen a node further on) also waits: nothing older is ever answered.
     pub fn since(&self, since: u64) -> Option<Answer> {
@@ -439,6 +439,10 @@
         for (_, instance) in self.changes.iter().filter(|(r, _)| *r > since) {
             latest.insert(&instance.instance_id, instance);
         }
+        // Revisions that changed no entry (lease grants and releases) wake no watcher: it waits on.
+        if latest.is_empty() {
+            return None;
+        }
         let instances = latest.into_values().cloned().collect();
         Some(Answer { revision: self.revision, reset: false, instances })
     }
@@ -602,6 +606,20 @@
         assert!(!store.since(store.revision() - 1).expect("news").reset);
     }
 
+    #[test]
+    fn a_lease_grant_wakes_no_watcher_of_the_list() {
+        let mut store = Store::default();
+        let register =
+            Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 0 };
+        store.apply(&register).expect("listed");
+        let acquire = Command::Acquire { name: "warm".into(), holder: "p1".into(), ttl_ms: 1000, at_ms: 0 };
+        assert_eq!(store.apply(&acquire), Ok(3));
+        assert_eq!(store.since(2), None, "nothing listed changed after 2");
+        store.apply(&Command::Drain { instance_id: "s-1".into() }).expect("drained");
+        let answer = store.since(2).expect("news");
+        assert_eq!((answer.revision, answer.instances.len()), (4, 1));
+    }
+
     #[test]
     fn bad_commands_are_told_and_change_nothing() {
         let mut store = Store::default();
