Hold a duty by a lease on sockets: dewpier hold, with a fenced resource on the harness

The harness gains a resource that fences and records every act, and Fleet::holder. Config reading is shared (registry::read_toml).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -20,6 +20,8 @@
 //! **Handover.** Another process may be granted the duty once the service's TTL has run out: at most `ttl`
 //! after the holder's last renewal reached the service, plus the contender's retry interval.
 
+pub mod holder;
+
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -52,6 +54,11 @@
         self.sent = self.sent.max(sent);
     }
 
+    /// When the last grant or renewal that the service took was sent, by the holder's clock.
+    pub fn sent(&self) -> Instant {
+        self.sent
+    }
+
     /// When the holder must have stopped acting, by its own clock.
     pub fn valid_until(&self) -> Instant {
         let held = self.ttl.mul_f64(1.0 - RATE).saturating_sub(MARGIN);
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use gannetproxy::lease::holder::{self, HolderConfig};
 use gannetproxy::proxy::config::Config;
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
@@ -72,6 +73,12 @@
         #[arg(long)]
         config: String,
     },
+    /// Holds one duty by a lease from the list service, and does it while the lease is valid.
+    Hold {
+        /// Its TOML configuration file.
+        #[arg(long)]
+        config: String,
+    },
 }
 
 /// Runs a future on the current thread, as the proxy runs, and tells its error in one line.
@@ -86,18 +93,30 @@
     }
 }
 
+/// The value, or `None` once its error has been told in one line.
+fn told<T, E: std::fmt::Display>(read: Result<T, E>) -> Option<T> {
+    read.map_err(|error| eprintln!("dewpier: {error}")).ok()
+}
+
+/// Structured logs of the fleet's services, on standard error.
+fn init_logs() {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    if let Some(Service::Registry { config }) = cli.command {
-        let config = match RegistryConfig::read(&config) {
-            Ok(config) => config,
-            Err(error) => {
-                eprintln!("dewpier: {error}");
-                return ExitCode::FAILURE;
-            }
-        };
-        tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
-        return on_this_thread(registry::serve(config));
+    match cli.command {
+        Some(Service::Registry { config }) => {
+            let Some(config) = told(RegistryConfig::read(&config)) else { return ExitCode::FAILURE };
+            init_logs();
+            return on_this_thread(registry::serve(config));
+        }
+        Some(Service::Hold { config }) => {
+            let Some(config) = told(HolderConfig::read(&config)) else { return ExitCode::FAILURE };
+            init_logs();
+            return on_this_thread(holder::hold(config));
+        }
+        None => {}
     }
     if std::env::var_os("RELAY_CONFIG").is_none() {
         eprintln!("dewpier: RELAY_CONFIG is not set; taking the embedded sample (deploy/sample.json)");
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -43,9 +43,9 @@
     4096
 }
 
-/// Why a node's configuration can't be used.
+/// Why the configuration of a fleet service (a list-service node, a lease holder) can't be used.
 #[derive(Debug, Error)]
-pub enum RegistryConfigError {
+pub enum ConfigError {
     /// The file can't be read.
     #[error("cannot read {path}: {error}")]
     Read {
@@ -67,18 +67,25 @@
     Value(&'static str),
 }
 
+/// Reads a TOML file of the fleet's services into `T`; its values are for the caller to check.
+///
+/// # Errors
+/// `Read` where the file can't be read, `Toml` where it is malformed or has an unknown key.
+pub fn read_toml<T: serde::de::DeserializeOwned>(path: &str) -> Result<T, ConfigError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| ConfigError::Read { path: path.into(), error })?;
+    toml::from_str(&text).map_err(|error| ConfigError::Toml { path: path.into(), error })
+}
+
 impl RegistryConfig {
     /// Reads and checks a configuration file.
-    pub fn read(path: &str) -> Result<Self, RegistryConfigError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| RegistryConfigError::Read { path: path.into(), error })?;
-        let config: Self =
-            toml::from_str(&text).map_err(|error| RegistryConfigError::Toml { path: path.into(), error })?;
+    pub fn read(path: &str) -> Result<Self, ConfigError> {
+        let config: Self = read_toml(path)?;
         if !(10..=10_000).contains(&config.expire_every_ms) {
-            return Err(RegistryConfigError::Value("expire_every_ms: from 10 to 10,000"));
+            return Err(ConfigError::Value("expire_every_ms: from 10 to 10,000"));
         }
         if config.most_watchers == 0 {
-            return Err(RegistryConfigError::Value("most_watchers: at least 1"));
+            return Err(ConfigError::Value("most_watchers: at least 1"));
         }
         Ok(config)
     }
--- a/tests/fleet/harness/mod.rs
+++ b/tests/fleet/harness/mod.rs
@@ -14,6 +14,7 @@
 pub mod process;
 pub mod registry;
 pub mod relay;
+pub mod resource;
 
 use serde_json::{Value, json};
 
--- a/tests/fleet/harness/process.rs
+++ b/tests/fleet/harness/process.rs
@@ -112,6 +112,14 @@
         self.start(&args, &[], "dewpier: registry listening on ", path)
     }
 
+    /// Starts a lease holder with this TOML configuration. Returns once it runs; its `address` is then the
+    /// target of its duty.
+    pub fn holder(&mut self, config: &str) -> Result<Process, StartError> {
+        let path = self.file("toml", config)?;
+        let args = ["hold".to_string(), "--config".into(), path.display().to_string()];
+        self.start(&args, &[], "dewpier: holder acting on ", path)
+    }
+
     fn file(&self, ending: &str, text: &str) -> Result<PathBuf, StartError> {
         let name = format!("fleet-{}-{}.{ending}", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
         let path = self.dir.join(name);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests that run several proxy processes with faults between them (the harness is in `harness/`).
 
 mod durable;
+mod duties;
 mod hard;
 mod harness;
 mod listing;
