--- a/src/main.rs
+++ b/src/main.rs
@@ -100,7 +100,13 @@
 
 /// Structured logs of the fleet's services, on standard error.
 fn init_logs() {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+    use tracing_subscriber::prelude::*;
+    // Raft tells of every call to a node that is down.
+    let filter = tracing_subscriber::filter::Targets::new()
+        .with_default(tracing::Level::INFO)
+        .with_target("openraft", tracing::Level::ERROR);
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_target(false);
+    tracing_subscriber::registry().with(lines).with(filter).init();
 }
 
 fn main() -> ExitCode {
--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -4,41 +4,102 @@
 //! `GET /api/targets?since=N&timeout_ms=T` waits up to T ms (at most 60,000) for news after revision N. A
 //! watch whose time runs out without news gets the revision with no entries; one from a revision ahead of this
 //! node (a node further on answered it before) gets 503 when its time runs out, never an older revision.
+//! Every node answers these from its own store, one cut off from the others too: `X-List-Age-Ms` says with
+//! each answer how long ago the node last heard from the leader (or, leading, from a quorum).
 //!
-//! For backends and operators, JSON bodies by `POST`, each answered `{"revision":N}` or, refused,
-//! 400/404 `{"error":"…"}` with nothing changed:
+//! For backends and operators, JSON bodies by `POST`, each answered `{"revision":N}` once committed on a
+//! quorum and durable there or, refused, 400/404 `{"error":"…"}` with nothing changed:
 //! - `/v1/register`: an instance object as discovery lists it, plus `ttlMs`;
 //! - `/v1/heartbeat`, `/v1/deregister`, `/v1/drain`: `{"instanceId":"…"}`;
 //! - `/v1/weight`: `{"instanceId":"…","weight":W}`;
 //! - `/v1/lease/acquire`: `{"name":"…","holder":"…","ttlMs":T}`, answered `{"revision":N,"token":K}`, or 409
 //!   with the holder where another holds it unexpired;
-//! - `/v1/lease/keepalive` and `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost.
+//! - `/v1/lease/keepalive` and `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost;
+//! - `/v1/cluster/forget`: `{"node":N}` takes a node whose disk is lost out of the members; it comes back with
+//!   an empty directory and `join = true`.
+//!
+//! A node that does not lead passes a write on to the one that does, and waits for one to be elected, until
+//! `write_within_ms`. Then it answers 503 with `Retry-After` and `"outcome":"none"` where the write was not
+//! applied and won't be, as in a minority, or `"outcome":"unknown"` where it may have been or may yet be.
+//!
+//! `GET /v1/status` tells the node's number, leader, members, revision and age. `/raft/…` is for other nodes
+//! (`raft::network`); the port is for the fleet's own network.
 
 use super::node::{Node, ProposeError};
+use super::raft::Applied;
+use super::raft::network::{self, CallError};
 use super::store::{Answer, Command, Instance, StoreError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait of a watch, as `PROTOCOL` bounds it.
 const MOST_WAIT_MS: u64 = 60_000;
 /// Largest body of a write.
 const MOST_BODY: usize = 64 << 10;
 
+/// Most writes waiting at once; more are refused with 503 and `Retry-After`.
+const MOST_WRITES: usize = 4_096;
+/// How long the answer about this node's own standing may be waited for, when it passes on its own command.
+const OWN_WITHIN: Duration = Duration::from_secs(2);
+/// Marks a write that another node has passed on: it is not passed on again.
+const PASSED_ON: &str = "x-passed-on";
+/// How old the list of an answer may be, in milliseconds (see the module's text).
+const AGE: &str = "x-list-age-ms";
+
 type Reply = Response<Full<Bytes>>;
 
 /// Handles requests for one node, with a bound on watches waiting at once.
 pub struct Api {
     node: Rc<Node>,
     watching: Cell<usize>,
+    writing: Cell<usize>,
     most_watchers: usize,
+    write_within: Duration,
+}
+
+/// Why a write is not done: the status, the reason, and whether it may still come to be applied.
+struct Undone {
+    status: StatusCode,
+    why: String,
+    outcome: Option<&'static str>,
+}
+
+impl From<Undone> for Reply {
+    fn from(undone: Undone) -> Self {
+        let mut body = json!({"error": undone.why});
+        if let Some(outcome) = undone.outcome {
+            body["outcome"] = json!(outcome);
+        }
+        let mut reply = json_reply(undone.status, body.to_string());
+        if undone.status == StatusCode::SERVICE_UNAVAILABLE {
+            reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        reply
+    }
+}
+
+fn undone(status: StatusCode, why: impl ToString, outcome: Option<&'static str>) -> Undone {
+    Undone { status, why: why.to_string(), outcome }
+}
+
+fn bad(why: impl ToString) -> Undone {
+    undone(StatusCode::BAD_REQUEST, why, None)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Numbered {
+    node: u64,
+    #[serde(default)]
+    incarnation: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -73,7 +134,7 @@
 fn json_reply(status: StatusCode, body: String) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from(body)));
     *reply.status_mut() = status;
-    reply.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
 
@@ -92,10 +153,56 @@
     found.map(|v| v.parse().map_err(|_| format!("{name} is not a whole number: {v}"))).transpose()
 }
 
+/// Reads the body of a write to `path` into its command.
+fn command(path: &str, body: &[u8]) -> Result<Command, Undone> {
+    let unknown = || undone(StatusCode::NOT_FOUND, format!("no such call: {path}"), None);
+    if let Some(call) = path.strip_prefix("/v1/lease/") {
+        let LeaseCall { name, holder, ttl_ms, token } = serde_json::from_slice(body).map_err(bad)?;
+        let missing = |what: &str| bad(format!("{what} is missing"));
+        return Ok(match call {
+            "acquire" => Command::Acquire {
+                name,
+                holder: holder.ok_or_else(|| missing("holder"))?,
+                ttl_ms: ttl_ms.ok_or_else(|| missing("ttlMs"))?,
+                at_ms: 0,
+            },
+            "keepalive" => {
+                Command::KeepAlive { name, token: token.ok_or_else(|| missing("token"))?, at_ms: 0 }
+            }
+            "release" => Command::Release { name, token: token.ok_or_else(|| missing("token"))? },
+            _ => return Err(unknown()),
+        });
+    }
+    if let Some(call) = path.strip_prefix("/v1/cluster/") {
+        let Numbered { node, incarnation } = serde_json::from_slice(body).map_err(bad)?;
+        return match (call, incarnation) {
+            ("join", Some(incarnation)) => Ok(Command::Join { node, incarnation }),
+            ("join", None) => Err(bad("incarnation is missing")),
+            ("forget", _) => Ok(Command::Forget { node }),
+            _ => Err(unknown()),
+        };
+    }
+    if path == "/v1/register" {
+        let Registration { instance, ttl_ms } = serde_json::from_slice(body).map_err(bad)?;
+        return Ok(Command::Register { instance, ttl_ms, at_ms: 0 });
+    }
+    let Named { instance_id, weight } = serde_json::from_slice(body).map_err(bad)?;
+    match (path, weight) {
+        ("/v1/heartbeat", None) => Ok(Command::Heartbeat { instance_id, at_ms: 0 }),
+        ("/v1/deregister", None) => Ok(Command::Deregister { instance_id }),
+        ("/v1/drain", None) => Ok(Command::Drain { instance_id }),
+        ("/v1/weight", Some(weight)) => Ok(Command::SetWeight { instance_id, weight }),
+        ("/v1/weight", None) => Err(bad("weight is missing")),
+        (_, Some(_)) => Err(bad("only /v1/weight takes a weight")),
+        _ => Err(unknown()),
+    }
+}
+
 impl Api {
-    /// An API over `node` that lets at most `most_watchers` watches wait at once; more are refused (503).
-    pub fn new(node: Rc<Node>, most_watchers: usize) -> Self {
-        Self { node, watching: Cell::new(0), most_watchers }
+    /// An API over `node` that lets at most `most_watchers` watches wait at once (more are refused, 503) and
+    /// gives a write up after `write_within`.
+    pub fn new(node: Rc<Node>, most_watchers: usize, write_within: Duration) -> Self {
+        Self { node, watching: Cell::new(0), writing: Cell::new(0), most_watchers, write_within }
     }
 
     /// Watches waiting now.
@@ -106,29 +213,62 @@
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Reply {
         if let Some(why) = self.node.failed() {
-            // Its memory holds a change the disk does not: it must not be read from either.
             return error(StatusCode::SERVICE_UNAVAILABLE, format!("this node has failed: {why}"));
         }
         let path = request.uri().path().to_string();
         let query = request.uri().query().unwrap_or("").to_string();
-        match (request.method().clone(), path.as_str()) {
+        let mut reply = match (request.method().clone(), path.as_str()) {
             (Method::GET, "/api/targets") => self.targets(&query).await,
             (Method::GET, "/-/ready") => json_reply(StatusCode::OK, "{}".into()),
+            (Method::GET, "/v1/status") => json_reply(StatusCode::OK, self.status().to_string()),
+            (Method::GET, "/raft/joined") => match parameter(&query, "node") {
+                Ok(node) => json_reply(StatusCode::OK, json!(self.node.knows(node.unwrap_or(0))).to_string()),
+                Err(why) => error(StatusCode::BAD_REQUEST, why),
+            },
+            (Method::POST, call) if call.starts_with("/raft/") => {
+                return self.raft(call.trim_start_matches("/raft/"), request).await;
+            }
             (Method::POST, write) if write.starts_with("/v1/") => {
-                let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
-                    Ok(body) => body.to_bytes(),
-                    Err(_) => return error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 64 KiB"),
-                };
-                let answer = match write.strip_prefix("/v1/lease/") {
-                    Some(call) => self.lease(call, &body),
-                    None => self.write(write, &body).map(|revision| json!({"revision": revision})),
-                };
-                match answer {
-                    Ok(body) => json_reply(StatusCode::OK, body.to_string()),
-                    Err((status, text)) => error(status, text),
+                let passed_on = request.headers().contains_key(PASSED_ON);
+                match Limited::new(request.into_body(), MOST_BODY).collect().await {
+                    Ok(body) => self.write(write, body.to_bytes(), passed_on).await.unwrap_or_else(Reply::from),
+                    Err(_) => error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 64 KiB"),
                 }
             }
             _ => error(StatusCode::NOT_FOUND, format!("no such call: {path}")),
+        };
+        reply.headers_mut().insert(AGE, HeaderValue::from(self.node.age().as_millis() as u64));
+        reply
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let (node, shared) = (&self.node, self.node.shared());
+        let (entries, revision) = (shared.store().len(), shared.store().revision());
+        json!({"node": node.id(), "leader": node.leader(), "members": node.members(), "revision": revision,
+               "entries": entries, "age_ms": node.age().as_millis() as u64, "watching": self.watching(),
+               "expired": node.expired()})
+    }
+
+    /// Answers another node's Raft.
+    async fn raft(&self, call: &str, request: Request<Incoming>) -> Reply {
+        let Some(raft) = self.node.raft() else {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "this node does not take part yet");
+        };
+        let body = match Limited::new(request.into_body(), network::MOST_BODY).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(_) => return error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 8 MiB"),
+        };
+        match network::serve(raft, call, &body).await {
+            Ok(body) => {
+                if call == "append" {
+                    self.node.heard_from_leader();
+                }
+                let mut reply = json_reply(StatusCode::OK, String::new());
+                *reply.body_mut() = Full::new(body.into());
+                reply
+            }
+            Err(CallError::Status(status)) => error(status, format!("no such call: /raft/{call}")),
+            Err(why) => error(StatusCode::BAD_REQUEST, why),
         }
     }
 
@@ -137,15 +277,12 @@
             (Ok(since), Ok(wait)) => (since, wait.unwrap_or(0).min(MOST_WAIT_MS)),
             (Err(e), _) | (_, Err(e)) => return error(StatusCode::BAD_REQUEST, e),
         };
-        let Some(since) = since else { return list(&self.node.full()) };
+        let Some(since) = since else { return list(&self.node.shared().store().full()) };
         if self.watching.get() >= self.most_watchers {
-            let mut reply = error(StatusCode::SERVICE_UNAVAILABLE, "too many watches");
-            reply.headers_mut().insert(RETRY_AFTER, hyper::header::HeaderValue::from_static("1"));
-            return reply;
+            return undone(StatusCode::SERVICE_UNAVAILABLE, "too many watches", None).into();
         }
-        self.watching.set(self.watching.get() + 1);
+        let _watching = Counted::one(&self.watching);
         let answer = self.node.watch(since, Duration::from_millis(wait)).await;
-        self.watching.set(self.watching.get() - 1);
         let revision = self.node.revision();
         match answer {
             Some(answer) => list(&answer),
@@ -156,65 +293,112 @@
         }
     }
 
-    /// Applies a lease call; a refusal is its status and its reason.
-    fn lease(&self, call: &str, body: &[u8]) -> Result<serde_json::Value, (StatusCode, String)> {
-        let LeaseCall { name, holder, ttl_ms, token } =
-            serde_json::from_slice(body).map_err(|e| (StatusCode::BAD_REQUEST, e.to_string()))?;
-        let missing = |what: &str| (StatusCode::BAD_REQUEST, format!("{what} is missing"));
-        let command = match call {
-            "acquire" => Command::Acquire {
-                name: name.clone(),
-                holder: holder.ok_or_else(|| missing("holder"))?,
-                ttl_ms: ttl_ms.ok_or_else(|| missing("ttlMs"))?,
-                at_ms: 0,
-            },
-            "keepalive" => Command::KeepAlive {
-                name: name.clone(),
-                token: token.ok_or_else(|| missing("token"))?,
-                at_ms: 0,
-            },
-            "release" => {
-                Command::Release { name: name.clone(), token: token.ok_or_else(|| missing("token"))? }
-            }
-            _ => return Err((StatusCode::NOT_FOUND, format!("no such call: /v1/lease/{call}"))),
-        };
-        let revision = self.node.propose(command).map_err(|e| match e {
-            ProposeError::Refused(StoreError::Held { .. } | StoreError::Lost(_)) => {
-                (StatusCode::CONFLICT, e.to_string())
+    /// Has a write done here or by the node that leads; a refusal is its status and its reason.
+    async fn write(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
+        let command = command(path, &body)?;
+        if self.writing.get() >= MOST_WRITES {
+            return Err(undone(StatusCode::SERVICE_UNAVAILABLE, "too many writes", Some("none")));
+        }
+        let _writing = Counted::one(&self.writing);
+        let deadline = Instant::now() + self.write_within;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(undone(StatusCode::SERVICE_UNAVAILABLE, "no leader to write to", Some("none")));
             }
-            ProposeError::Refused(_) => (StatusCode::BAD_REQUEST, e.to_string()),
-            ProposeError::Failed(_) => (StatusCode::SERVICE_UNAVAILABLE, e.to_string()),
-        })?;
-        let token = self.node.store().lease(&name).map(|g| g.token);
-        Ok(json!({"revision": revision, "token": token}))
-    }
-
-    /// Applies a write; a refusal is its status and its reason.
-    fn write(&self, path: &str, body: &[u8]) -> Result<u64, (StatusCode, String)> {
-        let bad = |e: serde_json::Error| (StatusCode::BAD_REQUEST, e.to_string());
-        let refuse = |status, text: &str| Err((status, text.to_string()));
-        let command = match path {
-            "/v1/register" => {
-                let Registration { instance, ttl_ms } = serde_json::from_slice(body).map_err(bad)?;
-                Command::Register { instance, ttl_ms, at_ms: 0 }
+            let leader = match self.here(&command, left).await {
+                Ok(Applied { revision, token }) => {
+                    let body = match token {
+                        Some(token) => json!({"revision": revision, "token": token}),
+                        None => json!({"revision": revision}),
+                    };
+                    return Ok(json_reply(StatusCode::OK, body.to_string()));
+                }
+                Err(ProposeError::NotLeader(leader)) => leader,
+                Err(ProposeError::Refused(why)) => {
+                    let status = match why {
+                        StoreError::Held { .. } | StoreError::Lost(_) | StoreError::Joined(_) => {
+                            StatusCode::CONFLICT
+                        }
+                        StoreError::Unknown(_) => StatusCode::NOT_FOUND,
+                        _ => StatusCode::BAD_REQUEST,
+                    };
+                    return Err(undone(status, why, None));
+                }
+                Err(why @ (ProposeError::Late | ProposeError::Failed(_))) => {
+                    return Err(undone(StatusCode::SERVICE_UNAVAILABLE, why, Some("unknown")));
+                }
+            };
+            if passed_on {
+                return Err(undone(StatusCode::MISDIRECTED_REQUEST, "this node does not lead", Some("none")));
             }
-            _ => {
-                let Named { instance_id, weight } = serde_json::from_slice(body).map_err(bad)?;
-                match (path, weight) {
-                    ("/v1/heartbeat", None) => Command::Heartbeat { instance_id, at_ms: 0 },
-                    ("/v1/deregister", None) => Command::Deregister { instance_id },
-                    ("/v1/drain", None) => Command::Drain { instance_id },
-                    ("/v1/weight", Some(weight)) => Command::SetWeight { instance_id, weight },
-                    ("/v1/weight", None) => return refuse(StatusCode::BAD_REQUEST, "weight is missing"),
-                    (_, Some(_)) => return refuse(StatusCode::BAD_REQUEST, "only /v1/weight takes a weight"),
-                    _ => return refuse(StatusCode::NOT_FOUND, &format!("no such call: {path}")),
+            if let Some(leader) = leader {
+                let request = Request::post(path).header("host", "list").header(PASSED_ON, "1");
+                let request = request.body(Full::new(body.clone())).map_err(bad)?;
+                match self.node.pass_on(leader, request, left).await {
+                    // It leads no more, or was not reached: the write is not done, and goes to the next.
+                    Ok(answer) if answer.status() == StatusCode::MISDIRECTED_REQUEST => {}
+                    Err(CallError::Connect(_)) => {}
+                    Ok(answer) => return Ok(answer.map(Full::new)),
+                    Err(why) => {
+                        let why = format!("passed on to node {leader}: {why}");
+                        return Err(undone(StatusCode::SERVICE_UNAVAILABLE, why, Some("unknown")));
+                    }
                 }
             }
+            self.node.standing_changes().await;
+        }
+    }
+
+    /// Proposes a command to this node; a change of members goes with the commands that stand for one.
+    async fn here(&self, command: &Command, within: Duration) -> Result<Applied, ProposeError> {
+        if let Command::Forget { node } = command
+            && self.node.leader() == Some(self.node.id())
+        {
+            self.node.remove_member(*node).await.map_err(ProposeError::Failed)?;
+        }
+        let applied = self.node.propose(command.clone(), within).await?;
+        if let Command::Join { node, .. } = command {
+            self.node.add_member(*node).await.map_err(ProposeError::Failed)?;
+        }
+        Ok(applied)
+    }
+
+    /// Has this node's own command done by whichever node leads.
+    ///
+    /// # Errors
+    /// `Joined` where the cluster refuses this node's log; `Unknown` with the reason where it is not done yet.
+    pub async fn own(&self, command: Command) -> Result<(), StoreError> {
+        let Command::Join { node, incarnation } = command else {
+            return Err(StoreError::Unknown("a command other than a node's own".into()));
+        };
+        let body = json!({"node": node, "incarnation": incarnation}).to_string();
+        let writing = self.write("/v1/cluster/join", body.into(), false);
+        let status = match tokio::time::timeout(OWN_WITHIN, writing).await {
+            Ok(Ok(reply)) => reply.status(),
+            Ok(Err(undone)) => undone.status,
+            Err(_) => StatusCode::GATEWAY_TIMEOUT,
         };
-        self.node.propose(command).map_err(|e| match e {
-            ProposeError::Refused(StoreError::Unknown(_)) => (StatusCode::NOT_FOUND, e.to_string()),
-            ProposeError::Refused(_) => (StatusCode::BAD_REQUEST, e.to_string()),
-            ProposeError::Failed(_) => (StatusCode::SERVICE_UNAVAILABLE, e.to_string()),
-        })
+        match status {
+            StatusCode::OK => Ok(()),
+            StatusCode::CONFLICT => Err(StoreError::Joined(node)),
+            status => Err(StoreError::Unknown(format!("status {status}"))),
+        }
+    }
+}
+
+/// One more in a count, for as long as it lives: an aborted call counts no longer.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn one(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
--- /dev/null
+++ b/src/registry/clock.rs
@@ -0,0 +1,64 @@
+//! The log's clock: what a leader stamps into its commands, and so what TTLs are counted on.
+//!
+//! It is not the time of day, which jumps. It counts the time for which some leader was at work: a leader goes
+//! on from the latest stamp applied, at the rate of its monotonic clock, and counts at most [`LogClock::new`]'s
+//! step between two readings, which come at least every expiry tick. So
+//! - it never runs faster than real time by more than the leader's rate, and nothing lapses early because a
+//!   clock jumped, a machine slept, or a stopped process (SIGSTOP) went on;
+//! - time without a leader does not count, so entries and leases outlive an election by at least its length,
+//!   and nobody's heartbeats are lost to it. A lease is thereby granted anew later, never sooner.
+
+use std::time::Duration;
+
+/// The clock of one node. Times read are milliseconds of log time, from 0 for an empty log.
+#[derive(Clone, Copy, Debug)]
+pub struct LogClock {
+    now: Duration,
+    /// The monotonic reading at which `now` was reckoned.
+    read: Duration,
+    step: Duration,
+}
+
+impl LogClock {
+    /// A clock at log time 0, which counts at most `step` between two readings; `monotonic` is the time since
+    /// any fixed moment, by the node's clock.
+    pub fn new(monotonic: Duration, step: Duration) -> Self {
+        Self { now: Duration::ZERO, read: monotonic, step }
+    }
+
+    /// The time for a leader's next command, `applied_ms` being the latest stamp applied. A clock that stood
+    /// still or went back since counts nothing.
+    pub fn lead(&mut self, monotonic: Duration, applied_ms: u64) -> u64 {
+        let passed = monotonic.saturating_sub(self.read).min(self.step);
+        self.read = monotonic;
+        self.now = (self.now + passed).max(Duration::from_millis(applied_ms));
+        self.now.as_millis() as u64
+    }
+
+    /// On a node that does not lead: its clock stands at the latest stamp applied, to go on from there.
+    pub fn follow(&mut self, monotonic: Duration, applied_ms: u64) {
+        (self.now, self.read) = (Duration::from_millis(applied_ms), monotonic);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn jumps_of_an_hour_either_way_count_at_most_a_step_and_a_new_leader_goes_on_from_the_log() {
+        let mut clock = LogClock::new(ms(5), ms(500));
+        assert_eq!(clock.lead(ms(105), 0), 100);
+        assert_eq!(clock.lead(ms(3_600_105), 0), 600, "an hour ahead: one step");
+        assert_eq!(clock.lead(ms(5), 0), 600, "back again: nothing");
+        assert_eq!(clock.lead(ms(105), 0), 700);
+        // An hour as a follower, in which nobody led for most of it: only what the log says has passed.
+        clock.follow(ms(3_600_105), 900);
+        assert_eq!(clock.lead(ms(3_600_155), 900), 950);
+        assert_eq!(clock.lead(ms(3_600_165), 2_000), 2_000, "never behind what is applied");
+    }
+}
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,11 +1,12 @@
 //! The list service: discovery of the project's own (`PROTOCOL`, "Discovery"), with a write API for
-//! backends and operators. `store` is its pure state machine, `node` owns it with its clock and watches,
-//! `disk` keeps it in a data directory, `api` serves HTTP. Replication through a Raft log is still to come
-//! (`docs/ROADMAP.md`): until then a node is a single one.
+//! backends and operators, replicated on 3 or 5 nodes (or on one). `store` is its pure state machine, `raft`
+//! the replicated log that it is applied from, `clock` the log's time, `node` one node with its watches, `api`
+//! serves HTTP.
 
 pub mod api;
-pub mod disk;
+pub mod clock;
 pub mod node;
+pub mod raft;
 pub mod store;
 
 use hyper::server::conn::http1;
@@ -30,9 +31,67 @@
     /// Most watches waiting at once (default 4,096); more are refused with 503 and `Retry-After`.
     #[serde(default = "default_most_watchers")]
     pub most_watchers: usize,
-    /// Where the list is kept on disk (`disk` says how); without it, in memory only.
+    /// Where the log is kept on disk (`raft::log` says how); without it, in memory only, for a node alone.
     #[serde(default)]
     pub data_dir: Option<std::path::PathBuf>,
+    /// This node's number in its cluster, from 1 (default 1).
+    #[serde(default = "default_node")]
+    pub node: u64,
+    /// The other nodes (none, 2 or 4 of them), as this one reaches them.
+    #[serde(default)]
+    pub peers: Vec<PeerConfig>,
+    /// Whether this node joins a cluster that has forgotten it (`/v1/cluster/forget`) rather than found one.
+    #[serde(default)]
+    pub join: bool,
+    /// How often the leader calls the others, in milliseconds (default 100).
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Between which times without a leader a node stands for election, in milliseconds (default 500 to 1,000):
+    /// at least three heartbeats, and above the longest stall that should not cost the leader its place.
+    #[serde(default = "default_election_ms")]
+    pub election_ms: [u64; 2],
+    /// How long a write may take before it is answered 503, in milliseconds (default 1,500).
+    #[serde(default = "default_write_within_ms")]
+    pub write_within_ms: u64,
+    /// Faults for tests.
+    #[serde(default)]
+    pub fault: Option<FaultConfig>,
+}
+
+/// Another node of the cluster.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerConfig {
+    /// Its number.
+    pub node: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What a fault test has a node do to itself.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultConfig {
+    /// The monotonic clock jumps this long after the start, in milliseconds.
+    pub clock_jump_after_ms: u64,
+    /// By how much, in seconds; below 0 it jumps back.
+    pub clock_jump_s: f64,
+}
+
+fn default_node() -> u64 {
+    1
+}
+
+fn default_heartbeat_ms() -> u64 {
+    100
+}
+
+fn default_election_ms() -> [u64; 2] {
+    [500, 1_000]
+}
+
+fn default_write_within_ms() -> u64 {
+    1_500
 }
 
 fn default_expire_ms() -> u64 {
@@ -87,31 +146,65 @@
         if config.most_watchers == 0 {
             return Err(ConfigError::Value("most_watchers: at least 1"));
         }
+        let value = |ok: bool, why| if ok { Ok(()) } else { Err(ConfigError::Value(why)) };
+        let numbers: std::collections::BTreeSet<u64> =
+            config.peers.iter().map(|p| p.node).chain([config.node]).collect();
+        value(matches!(config.peers.len(), 0 | 2 | 4), "peers: none, 2 or 4 other nodes")?;
+        value(numbers.len() == config.peers.len() + 1, "node, peers: each node has a number of its own")?;
+        value(!numbers.contains(&0), "node, peers: numbers are from 1")?;
+        value(config.peers.is_empty() || config.data_dir.is_some(), "data_dir: needed where there are peers")?;
+        value((10..=10_000).contains(&config.heartbeat_ms), "heartbeat_ms: from 10 to 10,000")?;
+        let [least, most] = config.election_ms;
+        let apart = least >= 3 * config.heartbeat_ms && most > least && most <= 60_000;
+        value(config.peers.is_empty() || apart, "election_ms: 3 heartbeats or more, rising, up to 60,000")?;
+        value((50..=60_000).contains(&config.write_within_ms), "write_within_ms: from 50 to 60,000")?;
+        let jump = config.fault.as_ref().map_or(0.0, |f| f.clock_jump_s);
+        value(jump.abs() <= 1e9, "fault.clock_jump_s: at most 1e9")?;
         Ok(config)
     }
 }
 
-/// Serves one node until the process ends. Says `dewpier: registry listening on ADDR` on standard error
-/// once it listens. Runs on the current thread's runtime and `LocalSet`.
+/// Serves one node until the process ends, or until it finds that it may not take part. Says
+/// `dewpier: registry listening on ADDR` on standard error once it listens. Runs on the current thread's runtime
+/// and `LocalSet`.
+///
+/// # Errors
+/// Where its data directory can't be used or does not read as written, its address can't be bound, or its log
+/// is not the one by which it has taken part.
 pub async fn serve(config: RegistryConfig) -> std::io::Result<()> {
-    let node = match &config.data_dir {
-        None => node::Node::new(),
-        Some(dir) => {
-            let (node, recovered) = node::Node::open(dir).map_err(std::io::Error::other)?;
-            let dir = dir.display();
-            tracing::info!(%dir, records = recovered.records, torn_bytes = recovered.torn_bytes,
-                revision = node.revision(), "list rebuilt from disk");
-            node
-        }
-    };
+    let (node, recovered) = node::Node::open(&config).await.map_err(std::io::Error::other)?;
+    if let Some(dir) = &config.data_dir {
+        let dir = dir.display();
+        tracing::info!(%dir, entries = recovered.entries, torn_bytes = recovered.torn_bytes,
+            revision = node.revision(), "log read from disk");
+    }
     let node = Rc::new(node);
-    // Bound only once the list is rebuilt, so that nobody is answered from a store that fails to load.
+    // Bound only once the log is read, so that nobody is answered from a store that fails to load.
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     eprintln!("dewpier: registry listening on {}", listener.local_addr()?);
-    let expiring = node.clone();
+    let (expiring, following) = (node.clone(), node.clone());
     let every = Duration::from_millis(config.expire_every_ms);
     tokio::task::spawn_local(async move { expiring.expire_every(every).await });
-    let api = Rc::new(api::Api::new(node, config.most_watchers));
+    tokio::task::spawn_local(async move { following.follow_quorum().await });
+    let write_within = Duration::from_millis(config.write_within_ms);
+    let api = Rc::new(api::Api::new(node.clone(), config.most_watchers, write_within));
+    let joining = async {
+        node.take_part().await?;
+        if !config.peers.is_empty() {
+            node.stay_joined(|command| api.own(command)).await?;
+            tracing::info!(node = node.id(), leader = node.leader(), "taking part");
+        }
+        // Then only the accepting below can end.
+        std::future::pending::<Result<(), node::NodeError>>().await
+    };
+    tokio::select! {
+        joined = joining => joined.map_err(std::io::Error::other),
+        () = accept(listener, api.clone()) => Ok(()),
+    }
+}
+
+/// Takes connections in for as long as the node lives.
+async fn accept(listener: tokio::net::TcpListener, api: Rc<api::Api>) {
     loop {
         let (stream, _) = match listener.accept().await {
             Ok(accepted) => accepted,
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -1,17 +1,42 @@
-//! One list-service node: it owns the store, stamps commands with its clock, writes what changed to disk
-//! before it is acknowledged, wakes watches on news and expires lapsed entries. Commands go through
-//! [`Node::propose`], the one place where a replicated log will stand between the API and the store; this
-//! node is a single one and applies them at once.
+//! One list-service node: the Raft that orders its commands, the store they are applied to, the log's clock,
+//! the watches and the expiry of lapsed entries.
 //!
-//! A write that the disk refuses leaves the node failed: it has a change in memory that is not durable, so
-//! from then on it answers nothing but that error, and clients go to another node (fail-stop).
+//! Reads are answered from this node's own store, on followers too: everything in it is committed, and its
+//! revision only grows. How far it may be behind is told with each answer ([`Node::age`]). Writes are ordered
+//! by the leader; a node that does not lead passes them on (`api`), and one that sees no leader refuses them.
+//!
+//! A node whose disk refuses a write has failed: Raft stops, and it answers nothing but that error, so that
+//! clients go to another node (fail-stop).
 
-use super::disk::{Disk, DiskError, Recovered};
-use super::store::{Answer, Command, Store, StoreError};
+use super::RegistryConfig;
+use super::clock::LogClock;
+use super::raft::log::{DiskError, Log, Recovered};
+use super::raft::machine::{Machine, Shared};
+use super::raft::network::{CallError, Network, Peer, SNAPSHOT_CHUNK};
+use super::raft::{Applied, NodeId, Raft};
+use super::store::{Answer, Command, StoreError};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response};
+use openraft::error::{ClientWriteError, RaftError};
+use openraft::{ChangeMembers, SnapshotPolicy};
 use std::cell::{Cell, RefCell};
-use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Entries of the log after which a snapshot is taken, and how many are kept behind it for nodes that lag.
+const SNAPSHOT_EVERY: u64 = 5_000;
+const KEPT_BEHIND: u64 = 1_000;
+/// How much longer than the expiry tick the log's clock may count between two readings.
+const CLOCK_SLACK: Duration = Duration::from_millis(400);
+/// Idle connections kept to pass writes on.
+const MOST_IDLE: usize = 32;
+/// How long a call that asks a peer whether this node has taken part may take.
+const ASK_WITHIN: Duration = Duration::from_millis(500);
+/// The wait between two rounds of those calls, and for a leader that is not known yet.
+const ROUND: Duration = Duration::from_millis(100);
 
 /// Why a command was not acknowledged.
 #[derive(Debug, thiserror::Error)]
@@ -19,137 +44,367 @@
     /// The store refused it; nothing changed.
     #[error(transparent)]
     Refused(#[from] StoreError),
-    /// The disk refused it, now or before: the node has failed and acknowledges nothing more.
+    /// This node does not lead; nothing changed. The leader it knows of, if any.
+    #[error("this node does not lead")]
+    NotLeader(Option<NodeId>),
+    /// Not committed in time: it may be yet.
+    #[error("not committed in time; it may have been applied or may yet be")]
+    Late,
+    /// The node has failed and acknowledges nothing more.
     #[error("this node has failed: {0}")]
     Failed(String),
 }
 
-/// A node's store, clock and watchers.
+/// Why a node can't start, or goes on no longer.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// Its disk.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// Raft refuses its configuration or its state.
+    #[error("raft: {0}")]
+    Raft(String),
+    /// Its own log is not the one by which it has taken part.
+    #[error(
+        "this node's data directory is not the one by which node {0} has taken part in this cluster: what it \
+         had acknowledged and voted is not here. To replace it, POST /v1/cluster/forget {{\"node\":{0}}} to \
+         another node, then start this one with join = true"
+    )]
+    Replaced(NodeId),
+}
+
+/// One node.
 pub struct Node {
-    store: RefCell<Store>,
-    disk: RefCell<Option<Disk>>,
-    failed: RefCell<Option<String>>,
+    id: NodeId,
+    raft: Raft,
+    log: Log,
+    shared: Shared,
+    peers: Arc<BTreeMap<NodeId, SocketAddr>>,
+    join: bool,
+    /// Whether this node may take part: see [`Node::take_part`].
+    admitted: Cell<bool>,
+    clock: RefCell<LogClock>,
+    started: Instant,
+    /// A fault for tests: how far the monotonic clock jumps, when.
+    jump: Option<(Duration, f64)>,
+    /// When this node last heard from a leader, or as the leader from a quorum.
+    heard: Cell<Instant>,
+    idle: RefCell<Vec<(NodeId, Peer)>>,
     expired: Cell<u64>,
-    /// The revision, for watches to wait on.
-    revision: watch::Sender<u64>,
 }
 
-/// Milliseconds of Unix time by this machine's clock; 0 if the clock stands before 1970.
-fn clock_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+fn raft_config(config: &RegistryConfig) -> Result<openraft::Config, NodeError> {
+    let alone = config.peers.is_empty();
+    let made = openraft::Config {
+        cluster_name: "linkhatch".into(),
+        heartbeat_interval: config.heartbeat_ms,
+        // Alone, there is nobody to wait for.
+        election_timeout_min: if alone { config.heartbeat_ms + 1 } else { config.election_ms[0] },
+        election_timeout_max: if alone { config.heartbeat_ms + 20 } else { config.election_ms[1] },
+        install_snapshot_timeout: 2_000,
+        snapshot_max_chunk_size: SNAPSHOT_CHUNK,
+        snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_EVERY),
+        max_in_snapshot_log_to_keep: KEPT_BEHIND,
+        purge_batch_size: KEPT_BEHIND,
+        ..Default::default()
+    };
+    made.validate().map_err(|e| NodeError::Raft(e.to_string()))
 }
 
-impl Default for Node {
-    fn default() -> Self {
-        Self::with(Store::default(), None)
+impl Node {
+    /// A node rebuilt from its data directory, or an empty one; it takes part once [`Node::take_part`] says so.
+    ///
+    /// # Errors
+    /// `Disk` where the directory can't be used or does not read as written; `Raft` where Raft refuses.
+    pub async fn open(config: &RegistryConfig) -> Result<(Self, Recovered), NodeError> {
+        let (log, recovered) = match &config.data_dir {
+            Some(dir) => Log::open(dir, config.node)?,
+            None => (Log::in_memory(config.node), Recovered::default()),
+        };
+        let machine = Machine::open(config.data_dir.as_deref(), log.purged())?;
+        let shared = machine.shared();
+        let peers: Arc<BTreeMap<_, _>> = Arc::new(config.peers.iter().map(|p| (p.node, p.address)).collect());
+        let network = Network { peers: peers.clone(), node: config.node };
+        let fails = |e: &dyn std::fmt::Display| NodeError::Raft(e.to_string());
+        let raft = Raft::new(config.node, Arc::new(raft_config(config)?), network, log.clone(), machine)
+            .await
+            .map_err(|e| fails(&e))?;
+        let step = Duration::from_millis(config.expire_every_ms) + CLOCK_SLACK;
+        let node = Self {
+            id: config.node,
+            raft,
+            log,
+            shared,
+            peers,
+            join: config.join,
+            admitted: Cell::new(false),
+            clock: RefCell::new(LogClock::new(Duration::ZERO, step)),
+            started: Instant::now(),
+            jump: config.fault.as_ref().map(|f| (Duration::from_millis(f.clock_jump_after_ms), f.clock_jump_s)),
+            heard: Cell::new(Instant::now()),
+            idle: RefCell::default(),
+            expired: Cell::new(0),
+        };
+        Ok((node, recovered))
     }
-}
 
-impl Node {
-    /// A node kept in memory only, with an empty store at revision 1.
-    pub fn new() -> Self {
-        Self::default()
+    /// Takes part in the cluster: at its first start it makes sure that no log of this node's number has
+    /// taken part before, founds the cluster with its peers, and has its own log recorded.
+    ///
+    /// A node that forgot its votes and entries must not vote: that could elect a leader without an
+    /// acknowledged write. That it has taken part is committed on a quorum of q of n nodes, q - 1 of them
+    /// others, so a node with a new log asks others until n - q + 1 have answered: one of them knows.
+    ///
+    /// # Errors
+    /// `Replaced` where another log of this node has taken part; `Raft` where Raft has failed.
+    pub async fn take_part(&self) -> Result<(), NodeError> {
+        let all = self.peers.len() + 1;
+        let enough = (all - (all / 2 + 1) + 1).min(self.peers.len());
+        let mut founded = false;
+        while self.log.is_new() {
+            let mut answered = 0;
+            for address in self.peers.values() {
+                let path = format!("/raft/joined?node={}", self.id);
+                let ask = Request::get(path).header("host", "list").body(Full::new(Bytes::new()));
+                let Ok(answer) = Peer::new(*address).call(ask.unwrap_or_default(), ASK_WITHIN).await else {
+                    continue;
+                };
+                let told = serde_json::from_slice::<(Option<u64>, bool)>(answer.body());
+                let Ok((known, member)) = told else { continue };
+                answered += 1;
+                founded |= member;
+                if known.is_some_and(|known| known != self.log.incarnation()) {
+                    return Err(NodeError::Replaced(self.id));
+                }
+            }
+            if answered >= enough {
+                break;
+            }
+            tracing::info!(answered, enough, "waiting for other nodes before the first start");
+            tokio::time::sleep(ROUND).await;
+        }
+        self.admitted.set(true);
+        if self.log.is_new() && !founded && !self.join {
+            let members: BTreeSet<NodeId> = self.peers.keys().copied().chain([self.id]).collect();
+            // Each founder says the same; one that hears of the cluster first need not.
+            if let Err(error) = self.raft.initialize(members).await {
+                tracing::info!(%error, "not founding the cluster");
+            }
+        }
+        Ok(())
     }
 
-    /// A node whose list is kept in `dir`, rebuilt from what is there.
+    /// Has this node's log recorded as the one by which it takes part; `pass_on` submits a command to
+    /// whichever node leads.
     ///
     /// # Errors
-    /// The disk's, where the directory can't be used or holds what does not read.
-    pub fn open(dir: &Path) -> Result<(Self, Recovered), DiskError> {
-        let (disk, mut store, recovered) = Disk::open(dir)?;
-        store.refresh_all(clock_ms());
-        Ok((Self::with(store, Some(disk)), recovered))
+    /// `Replaced` where another log of this node has taken part.
+    pub async fn stay_joined<F: Future<Output = Result<(), StoreError>>>(
+        &self,
+        pass_on: impl Fn(Command) -> F,
+    ) -> Result<(), NodeError> {
+        let (node, incarnation) = (self.id, self.log.incarnation());
+        loop {
+            match self.shared.store().joined(node) {
+                Some(known) if known != incarnation => return Err(NodeError::Replaced(node)),
+                Some(_) if !self.join => return Ok(()),
+                _ => {}
+            }
+            match pass_on(Command::Join { node, incarnation }).await {
+                Ok(()) => return Ok(()),
+                Err(StoreError::Joined(_)) => return Err(NodeError::Replaced(node)),
+                Err(_) => tokio::time::sleep(ROUND).await,
+            }
+        }
+    }
+
+    /// This node's number.
+    pub fn id(&self) -> NodeId {
+        self.id
     }
 
-    fn with(store: Store, disk: Option<Disk>) -> Self {
-        let (revision, _) = watch::channel(store.revision());
-        let (disk, failed) = (RefCell::new(disk), RefCell::new(None));
-        Self { store: RefCell::new(store), disk, failed, expired: Cell::new(0), revision }
+    /// Raft, for other nodes' calls; none until this node may take part.
+    pub fn raft(&self) -> Option<&Raft> {
+        self.admitted.get().then_some(&self.raft)
+    }
+
+    /// Whether this node's log holds a cluster, and the incarnation by which `node` takes part, if it does.
+    pub fn knows(&self, node: NodeId) -> (Option<u64>, bool) {
+        (self.shared.store().joined(node), !self.log.is_new())
+    }
+
+    /// The node that leads, as far as this one knows.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.raft.metrics().borrow().current_leader
+    }
+
+    fn leads(&self) -> bool {
+        self.raft.metrics().borrow().state == openraft::ServerState::Leader
+    }
+
+    /// The node's monotonic clock, since its start.
+    fn monotonic(&self) -> Duration {
+        let real = self.started.elapsed();
+        match self.jump {
+            Some((after, by)) if real >= after && by >= 0.0 => real + Duration::from_secs_f64(by),
+            Some((after, by)) if real >= after => real.saturating_sub(Duration::from_secs_f64(-by)),
+            _ => real,
+        }
     }
 
-    /// Applies a command, stamped with this node's time where it takes one, and writes it to disk if it
-    /// changed the list; returns the revision after it. An expiry is applied as the deregistrations it
-    /// makes, each a change of its own.
+    /// Reads the log's clock: the time for the next command.
+    fn now(&self) -> u64 {
+        let (monotonic, applied) = (self.monotonic(), self.shared.store().clock_ms());
+        let mut clock = self.clock.borrow_mut();
+        if self.leads() {
+            return clock.lead(monotonic, applied);
+        }
+        clock.follow(monotonic, applied);
+        applied
+    }
+
+    /// Has a command committed and applied, stamped with the log's time where it takes one, within `within`.
     ///
     /// # Errors
-    /// `Refused` where the store refuses it (nothing changes), `Failed` where the disk refused this or an
-    /// earlier change.
-    pub fn propose(&self, mut command: Command) -> Result<u64, ProposeError> {
-        if let Some(why) = self.failed.borrow().as_ref() {
-            return Err(ProposeError::Failed(why.clone()));
+    /// As [`ProposeError`] says.
+    pub async fn propose(&self, mut command: Command, within: Duration) -> Result<Applied, ProposeError> {
+        if let Some(why) = self.failed() {
+            return Err(ProposeError::Failed(why));
         }
-        let now = self.store.borrow().stamp(clock_ms());
-        let commands = match &mut command {
-            Command::Expire { .. } => {
-                let lapsed = self.store.borrow().lapsed(now);
-                self.expired.set(self.expired.get() + lapsed.len() as u64);
-                lapsed.into_iter().map(|instance_id| Command::Deregister { instance_id }).collect()
-            }
+        if !self.leads() {
+            return Err(ProposeError::NotLeader(self.leader().filter(|leader| *leader != self.id)));
+        }
+        let now = self.now();
+        match &mut command {
             Command::Register { at_ms, .. }
             | Command::Heartbeat { at_ms, .. }
             | Command::Acquire { at_ms, .. }
-            | Command::KeepAlive { at_ms, .. } => {
-                *at_ms = now;
-                vec![command]
-            }
+            | Command::KeepAlive { at_ms, .. }
+            | Command::Expire { at_ms } => *at_ms = now,
             Command::Deregister { .. }
             | Command::SetWeight { .. }
             | Command::Drain { .. }
-            | Command::Release { .. } => vec![command],
-        };
-        let mut revision = self.revision();
-        for command in commands {
-            let mut store = self.store.borrow_mut();
-            let before = store.revision();
-            revision = store.apply(&command)?;
-            if revision == before {
-                continue;
-            }
-            let written =
-                self.disk.borrow_mut().as_mut().map_or(Ok(()), |disk| disk.append(&command, &store));
-            if let Err(error) = written {
-                let why = error.to_string();
-                tracing::error!(%why, "disk write failed; this node stops acknowledging");
-                *self.failed.borrow_mut() = Some(why.clone());
-                return Err(ProposeError::Failed(why));
+            | Command::Join { .. }
+            | Command::Forget { .. }
+            | Command::Release { .. } => {}
+        }
+        match tokio::time::timeout(within, self.raft.client_write(command)).await {
+            Ok(Ok(written)) => Ok(written.data?),
+            Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(to)))) => {
+                Err(ProposeError::NotLeader(to.leader_id.filter(|leader| *leader != self.id)))
             }
-            drop(store);
-            self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
+            Ok(Err(error)) => Err(ProposeError::Failed(error.to_string())),
+            Err(_) => Err(ProposeError::Late),
+        }
+    }
+
+    /// Makes `node` a member that votes, once it has caught up (as the leader).
+    ///
+    /// # Errors
+    /// What Raft says, as text.
+    pub async fn add_member(&self, node: NodeId) -> Result<(), String> {
+        if self.members().contains(&node) {
+            return Ok(());
+        }
+        self.raft.add_learner(node, openraft::EmptyNode {}, true).await.map_err(|e| e.to_string())?;
+        let change = ChangeMembers::AddVoterIds(BTreeSet::from([node]));
+        self.raft.change_membership(change, false).await.map_err(|e| e.to_string())?;
+        Ok(())
+    }
+
+    /// Takes `node` out of the members (as the leader).
+    ///
+    /// # Errors
+    /// What Raft says, as text.
+    pub async fn remove_member(&self, node: NodeId) -> Result<(), String> {
+        let change = ChangeMembers::RemoveVoters(BTreeSet::from([node]));
+        self.raft.change_membership(change, false).await.map_err(|e| e.to_string())?;
+        Ok(())
+    }
+
+    /// The members that vote.
+    pub fn members(&self) -> BTreeSet<NodeId> {
+        self.raft.metrics().borrow().membership_config.membership().voter_ids().collect()
+    }
+
+    /// Passes a request on to another node.
+    ///
+    /// # Errors
+    /// As [`CallError`] says; `Connect` where the node is not in the configuration or was not sent it.
+    pub async fn pass_on(
+        &self,
+        to: NodeId,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let kept = {
+            let mut idle = self.idle.borrow_mut();
+            let at = idle.iter().position(|(node, _)| *node == to);
+            at.map(|at| idle.swap_remove(at).1)
+        };
+        let unknown = || CallError::Connect(std::io::Error::other(format!("node {to} is not configured")));
+        let mut peer = match kept {
+            Some(peer) => peer,
+            None => Peer::new(*self.peers.get(&to).ok_or_else(unknown)?),
+        };
+        let answer = peer.call(request, within).await?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MOST_IDLE {
+            idle.push((to, peer));
         }
-        Ok(revision)
+        Ok(answer)
     }
 
-    /// The store, to read from.
-    pub fn store(&self) -> std::cell::Ref<'_, Store> {
-        self.store.borrow()
+    /// The store, locked for a short read.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
     }
 
-    /// Entries taken off by expiry since the start.
+    /// Entries taken off by expiries of this node since its start.
     pub fn expired(&self) -> u64 {
         self.expired.get()
     }
 
     /// Why the node has failed, if it has.
     pub fn failed(&self) -> Option<String> {
-        self.failed.borrow().clone()
+        self.raft.metrics().borrow().running_state.as_ref().err().map(ToString::to_string)
     }
 
-    /// The whole list now.
-    pub fn full(&self) -> Answer {
-        self.store.borrow().full()
+    /// How long ago this node last heard from a leader or, leading, from a quorum: what it answers from its
+    /// store held all that was acknowledged up to then, less what was on its way. Zero for a node alone.
+    pub fn age(&self) -> Duration {
+        match self.peers.is_empty() {
+            true => Duration::ZERO,
+            false => self.heard.get().elapsed(),
+        }
+    }
+
+    /// A leader has called.
+    pub fn heard_from_leader(&self) {
+        self.heard.set(Instant::now());
+    }
+
+    /// Follows Raft's word of when a quorum last answered this node as the leader, for as long as it lives.
+    pub async fn follow_quorum(&self) {
+        let mut metrics = self.raft.metrics();
+        while metrics.changed().await.is_ok() {
+            let ago = metrics.borrow_and_update().millis_since_quorum_ack;
+            let at = ago.and_then(|ms| Instant::now().checked_sub(Duration::from_millis(ms)));
+            self.heard.set(self.heard.get().max(at.unwrap_or(self.started)));
+        }
     }
 
     /// The revision now.
     pub fn revision(&self) -> u64 {
-        self.store.borrow().revision()
+        self.shared.store().revision()
     }
 
     /// A watch: the news since `since` as soon as there is any, or `None` after `wait` without news.
     pub async fn watch(&self, since: u64, wait: Duration) -> Option<Answer> {
-        let mut revisions = self.revision.subscribe();
+        let mut revisions = self.shared.revisions();
         let news = async {
             loop {
-                if let Some(answer) = self.store.borrow().since(since) {
+                if let Some(answer) = self.shared.store().since(since) {
                     return answer;
                 }
                 if revisions.changed().await.is_err() {
@@ -161,14 +416,26 @@
         tokio::time::timeout(wait, news).await.ok()
     }
 
-    /// Expires lapsed entries every `every`, for as long as the node lives.
+    /// Waits until Raft's standing changes, or `ROUND` at most.
+    pub async fn standing_changes(&self) {
+        let mut metrics = self.raft.metrics();
+        metrics.mark_unchanged();
+        let _ = tokio::time::timeout(ROUND, metrics.changed()).await;
+    }
+
+    /// Expires lapsed entries every `every`, as the leader, and keeps the log's clock, for as long as the
+    /// node lives.
     pub async fn expire_every(&self, every: Duration) {
         let mut tick = tokio::time::interval(every);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tick.tick().await;
-            // An expiry is never refused.
-            let _ = self.propose(Command::Expire { at_ms: 0 });
+            let now = self.now();
+            let lapsed = if self.leads() { self.shared.store().lapsed(now).len() } else { 0 };
+            // An expiry that is not committed is made again at the next tick.
+            if lapsed > 0 && self.propose(Command::Expire { at_ms: 0 }, every.max(ROUND)).await.is_ok() {
+                self.expired.set(self.expired.get() + lapsed as u64);
+            }
         }
     }
 }
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -7,9 +7,8 @@
 //! command that changes the list. A command that changes nothing (a heartbeat, a repeated drain) keeps the
 //! revision, so that watchers are not woken for nothing.
 //!
-//! Time: `at_ms` in commands is the leader's clock, in milliseconds, made monotonic by [`Store::stamp`]: a
-//! clock that jumps back on a new leader cannot make an entry live longer than its TTL after its last
-//! heartbeat as first stamped, and one that jumps ahead expires entries early, never late.
+//! Time: `at_ms` in commands is the log's clock (`clock`) as the leader read it, in milliseconds, made monotonic
+//! by [`Store::stamp`]: a command stamped below one applied before counts as stamped with that one's time.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -18,10 +17,16 @@
 
 /// Shortest and longest TTL that a registration may ask for, in milliseconds.
 pub const TTL_MS: [u64; 2] = [500, 300_000];
-/// Most entries listed at once: a list this long is some 1 MiB in JSON, the most that a proxy takes in.
+/// Most entries listed at once.
 pub const MOST_ENTRIES: usize = 6_000;
+/// Most bytes of all entries as JSON, so that the whole list stays under the 1 MiB that a proxy takes in; a byte
+/// each is left for draining (`DRAINING` is longer than `SERVING`) and some for the frame around them.
+pub const MOST_LIST_BYTES: usize = (1 << 20) - (8 << 10);
 /// Changes kept for watches that ask `since` a revision; an older `since` gets the whole list.
 pub const MOST_CHANGES: usize = 4_096;
+/// Most characters of an id, a zone, a type, a lease's name or a holder: visible ASCII, so that each is a line
+/// of a log and a JSON string of the same length.
+pub const MOST_NAME: usize = 128;
 /// Most leases held at once: duties are few, this bounds what a faulty client can make.
 pub const MOST_LEASES: usize = 1_024;
 
@@ -127,6 +132,19 @@
         /// The leader's time.
         at_ms: u64,
     },
+    /// Records that the log of `node` with this incarnation takes part in the cluster, so that a node whose
+    /// disk was lost is not taken for the one that has voted. Changes no revision.
+    Join {
+        /// The node.
+        node: u64,
+        /// Drawn when its log was first made.
+        incarnation: u64,
+    },
+    /// Forgets the log of a node that has left the cluster's members.
+    Forget {
+        /// The node.
+        node: u64,
+    },
     /// Gives a lease up, so that another may take it at once.
     Release {
         /// The duty's name.
@@ -137,7 +155,7 @@
 }
 
 /// Why a command was not applied. Nothing changes when one is returned.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq, Error, Serialize, Deserialize)]
 pub enum StoreError {
     /// No backend of that id is listed.
     #[error("no instance {0} is listed")]
@@ -148,11 +166,14 @@
     /// The weight is not a number in (0, 1000].
     #[error("weight {0} is not in (0, 1000]")]
     Weight(f64),
-    /// A registration may not say `DELETED`, nor an empty id.
-    #[error("a registration needs an id and a lifecycle of SERVING or DRAINING")]
+    /// A registration may not say `DELETED`, nor port 0.
+    #[error("a registration needs a lifecycle of SERVING or DRAINING and a port")]
     Registration,
-    /// The list holds `MOST_ENTRIES` already.
-    #[error("the list is full ({MOST_ENTRIES} entries)")]
+    /// A name that is empty where one is needed, too long, or holds what is not visible ASCII.
+    #[error("{0}: from {min} to {MOST_NAME} visible ASCII characters", min = usize::from(!matches!(.0.as_str(), "zone" | "machineType")))]
+    Name(String),
+    /// The list would hold more than `MOST_ENTRIES` or `MOST_LIST_BYTES`.
+    #[error("the list is full ({MOST_ENTRIES} entries or {MOST_LIST_BYTES} bytes)")]
     Full,
     /// The lease is held by another, unexpired.
     #[error("lease {name} is held by {holder} until {expires_at_ms} (token {token})")]
@@ -169,6 +190,9 @@
     /// The lease is not held under that token any more (run out, released or granted anew).
     #[error("lease {0} is not held under that token")]
     Lost(String),
+    /// Another log of that node takes part already.
+    #[error("another log of node {0} has taken part in this cluster")]
+    Joined(u64),
     /// `MOST_LEASES` are held already.
     #[error("too many leases ({MOST_LEASES})")]
     TooManyLeases,
@@ -207,13 +231,15 @@
 
 /// What a snapshot holds: all but the changes kept for watches, which a restarted node does not have (its
 /// watchers get the whole list once).
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub struct Snapshot {
     revision: u64,
     listed: BTreeMap<String, Listed>,
     clock_ms: u64,
     #[serde(default)]
     leases: BTreeMap<String, Grant>,
+    #[serde(default)]
+    nodes: BTreeMap<u64, u64>,
 }
 
 /// The list and its revision. One owner: the node that applies the log.
@@ -221,18 +247,22 @@
 pub struct Store {
     revision: u64,
     listed: BTreeMap<String, Listed>,
+    /// Bytes of all entries as JSON.
+    bytes: usize,
     /// Each change's revision and the entry as it became, oldest first, at most `MOST_CHANGES`.
     changes: VecDeque<(u64, Instance)>,
     /// The latest time stamped into a command applied.
     clock_ms: u64,
     /// Leases by name; one that has run out stays until it is granted anew or released.
     leases: BTreeMap<String, Grant>,
+    /// The nodes that take part, by number, with the incarnation of their log.
+    nodes: BTreeMap<u64, u64>,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        let (listed, changes, leases) = (BTreeMap::new(), VecDeque::new(), BTreeMap::new());
-        Self { revision: 1, listed, changes, clock_ms: 0, leases }
+        let (listed, leases, nodes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self::restore(Snapshot { revision: 1, listed, clock_ms: 0, leases, nodes })
     }
 }
 
@@ -260,14 +290,15 @@
 
     /// The state to write to disk.
     pub fn snapshot(&self) -> Snapshot {
-        let (listed, leases) = (self.listed.clone(), self.leases.clone());
-        Snapshot { revision: self.revision, listed, clock_ms: self.clock_ms, leases }
+        let (listed, leases, nodes) = (self.listed.clone(), self.leases.clone(), self.nodes.clone());
+        Snapshot { revision: self.revision, listed, clock_ms: self.clock_ms, leases, nodes }
     }
 
     /// A store as a snapshot left it.
     pub fn restore(snapshot: Snapshot) -> Self {
-        let Snapshot { revision, listed, clock_ms, leases } = snapshot;
-        Self { revision, listed, changes: VecDeque::new(), clock_ms, leases }
+        let Snapshot { revision, listed, clock_ms, leases, nodes } = snapshot;
+        let bytes = listed.values().map(|l| size(&l.instance)).sum();
+        Self { revision, listed, bytes, changes: VecDeque::new(), clock_ms, leases, nodes }
     }
 
     /// The ids whose TTL has run out by `at_ms`, in order: what an expiry then takes off.
@@ -276,17 +307,14 @@
         self.listed.iter().filter(|(_, l)| l.expires_at_ms <= at).map(|(id, _)| id.clone()).collect()
     }
 
-    /// Gives every entry its whole TTL from `at_ms`, as after a restart: heartbeats are not kept on disk, so
-    /// a node that comes back does not know how long ago each entry last beat, and keeps each at least a TTL.
-    pub fn refresh_all(&mut self, at_ms: u64) {
-        let at = self.time(at_ms);
-        for listed in self.listed.values_mut() {
-            listed.expires_at_ms = listed.expires_at_ms.max(at + listed.ttl_ms);
-        }
-        // Keep-alives are not on disk either; a longer lease delays a handover and never makes two holders.
-        for grant in self.leases.values_mut() {
-            grant.expires_at_ms = grant.expires_at_ms.max(at + grant.ttl_ms);
-        }
+    /// The incarnation of the log by which `node` takes part, if it does.
+    pub fn joined(&self, node: u64) -> Option<u64> {
+        self.nodes.get(&node).copied()
+    }
+
+    /// The latest time stamped into a command applied.
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
     }
 
     /// The grant of lease `name`, run out or not.
@@ -302,15 +330,20 @@
                     return Err(StoreError::Ttl(*ttl_ms));
                 }
                 check_weight(instance.weight)?;
-                if instance.instance_id.is_empty() || instance.lifecycle == Lifecycle::Deleted {
+                check_name("instanceId", &instance.instance_id, 1)?;
+                check_name("zone", &instance.zone, 0)?;
+                check_name("machineType", &instance.machine_type, 0)?;
+                if instance.lifecycle == Lifecycle::Deleted || instance.host_port.port() == 0 {
                     return Err(StoreError::Registration);
                 }
                 let known = self.listed.get(&instance.instance_id);
-                if known.is_none() && self.listed.len() >= MOST_ENTRIES {
+                let bytes = self.bytes + size(instance) - known.map_or(0, |l| size(&l.instance));
+                if (known.is_none() && self.listed.len() >= MOST_ENTRIES) || bytes > MOST_LIST_BYTES {
                     return Err(StoreError::Full);
                 }
                 // A new TTL counts as a change too, so that every change that the disk keeps is a revision.
                 let same = known.is_some_and(|l| l.instance == *instance && l.ttl_ms == *ttl_ms);
+                self.bytes = bytes;
                 let at = self.time(*at_ms);
                 let listed =
                     Listed { instance: instance.clone(), ttl_ms: *ttl_ms, expires_at_ms: at + ttl_ms };
@@ -326,24 +359,30 @@
                 self.clock_ms = at;
             }
             Command::Deregister { instance_id } => {
-                let mut gone = self.listed.remove(instance_id).ok_or_else(|| unknown(instance_id))?;
-                gone.instance.lifecycle = Lifecycle::Deleted;
-                self.changed(gone.instance);
+                if !self.take_off(instance_id) {
+                    return Err(unknown(instance_id));
+                }
             }
             Command::SetWeight { instance_id, weight } => {
                 check_weight(*weight)?;
-                let listed = self.find(instance_id)?;
-                if listed.instance.weight != *weight {
-                    listed.instance.weight = *weight;
-                    let instance = listed.instance.clone();
+                let before = self.find(instance_id)?.instance.clone();
+                let instance = Instance { weight: *weight, ..before.clone() };
+                let bytes = self.bytes + size(&instance) - size(&before);
+                if bytes > MOST_LIST_BYTES {
+                    return Err(StoreError::Full);
+                }
+                if before.weight != *weight {
+                    (self.bytes, self.find(instance_id)?.instance.weight) = (bytes, *weight);
                     self.changed(instance);
                 }
             }
             Command::Drain { instance_id } => {
                 let listed = self.find(instance_id)?;
                 if listed.instance.lifecycle != Lifecycle::Draining {
+                    let before = size(&listed.instance);
                     listed.instance.lifecycle = Lifecycle::Draining;
                     let instance = listed.instance.clone();
+                    self.bytes += size(&instance) - before;
                     self.changed(instance);
                 }
             }
@@ -351,6 +390,8 @@
                 if !(TTL_MS[0]..=TTL_MS[1]).contains(ttl_ms) {
                     return Err(StoreError::Ttl(*ttl_ms));
                 }
+                check_name("name", name, 1)?;
+                check_name("holder", holder, 1)?;
                 let at = self.stamp(*at_ms);
                 match self.leases.get_mut(name) {
                     Some(grant) if grant.expires_at_ms > at && grant.holder != *holder => {
@@ -397,19 +438,15 @@
                 self.leases.remove(name);
                 self.revision += 1;
             }
+            Command::Join { node, incarnation } => match self.nodes.get(node) {
+                Some(known) if known != incarnation => return Err(StoreError::Joined(*node)),
+                _ => drop(self.nodes.insert(*node, *incarnation)),
+            },
+            Command::Forget { node } => drop(self.nodes.remove(node)),
             Command::Expire { at_ms } => {
                 let at = self.time(*at_ms);
-                let lapsed: Vec<String> = self
-                    .listed
-                    .iter()
-                    .filter(|(_, l)| l.expires_at_ms <= at)
-                    .map(|(id, _)| id.clone())
-                    .collect();
-                for id in lapsed {
-                    if let Some(mut gone) = self.listed.remove(&id) {
-                        gone.instance.lifecycle = Lifecycle::Deleted;
-                        self.changed(gone.instance);
-                    }
+                for id in self.lapsed(at) {
+                    self.take_off(&id);
                 }
             }
         }
@@ -457,6 +494,15 @@
         self.listed.get_mut(instance_id).ok_or_else(|| unknown(instance_id))
     }
 
+    /// Takes an entry off the list; whether it was there.
+    fn take_off(&mut self, instance_id: &str) -> bool {
+        let Some(mut gone) = self.listed.remove(instance_id) else { return false };
+        self.bytes -= size(&gone.instance);
+        gone.instance.lifecycle = Lifecycle::Deleted;
+        self.changed(gone.instance);
+        true
+    }
+
     fn changed(&mut self, instance: Instance) {
         self.revision += 1;
         if self.changes.len() >= MOST_CHANGES {
@@ -466,10 +512,24 @@
     }
 }
 
+/// Bytes of an entry in the list, with its comma.
+fn size(instance: &Instance) -> usize {
+    // An entry always serializes; were it not to, it would count as longer than any list.
+    serde_json::to_vec(instance).map_or(MOST_LIST_BYTES, |json| json.len() + 1)
+}
+
 fn unknown(id: &str) -> StoreError {
     StoreError::Unknown(id.to_string())
 }
 
+fn check_name(what: &str, name: &str, least: usize) -> Result<(), StoreError> {
+    let visible = name.bytes().all(|b| b.is_ascii_graphic());
+    match visible && (least..=MOST_NAME).contains(&name.len()) {
+        true => Ok(()),
+        false => Err(StoreError::Name(what.to_string())),
+    }
+}
+
 fn check_weight(weight: f64) -> Result<(), StoreError> {
     match weight > 0.0 && weight <= 1000.0 {
         true => Ok(()),
@@ -606,6 +666,26 @@
         assert!(!store.since(store.revision() - 1).expect("news").reset);
     }
 
+    #[test]
+    fn a_list_never_grows_past_what_a_proxy_takes_in() {
+        let mut store = Store::default();
+        let mut full = 0;
+        for n in 0..MOST_ENTRIES {
+            let mut long = instance(1, Lifecycle::Serving, 0.123_456_789);
+            long.instance_id = format!("{n:0>MOST_NAME$}");
+            (long.zone, long.machine_type) = ("z".repeat(MOST_NAME), "m".repeat(MOST_NAME));
+            let register = Command::Register { instance: long, ttl_ms: 1000, at_ms: 0 };
+            full += usize::from(store.apply(&register) == Err(StoreError::Full));
+        }
+        assert!(full > 0 && store.len() + full == MOST_ENTRIES);
+        for id in store.listed.keys().cloned().collect::<Vec<_>>() {
+            store.apply(&Command::Drain { instance_id: id }).expect("drained");
+        }
+        let list = serde_json::to_vec(&store.full().instances).expect("a list").len();
+        assert!(list + 256 < 1 << 20 && list > 1_000_000, "{list} bytes");
+        assert_eq!(store.bytes, Store::restore(store.snapshot()).bytes);
+    }
+
     #[test]
     fn a_lease_grant_wakes_no_watcher_of_the_list() {
         let mut store = Store::default();
@@ -623,6 +703,17 @@
     #[test]
     fn bad_commands_are_told_and_change_nothing() {
         let mut store = Store::default();
+        let mut refused = |change: &dyn Fn(&mut Instance)| {
+            let mut bad = instance(1, Lifecycle::Serving, 1.0);
+            change(&mut bad);
+            store.apply(&Command::Register { instance: bad, ttl_ms: 1000, at_ms: 0 }).unwrap_err()
+        };
+        for id in ["", "a b", "a\nb", &"x".repeat(MOST_NAME + 1)] {
+            assert_eq!(refused(&|i| i.instance_id = id.into()), StoreError::Name("instanceId".into()));
+        }
+        assert_eq!(refused(&|i| i.zone = "z\0".into()), StoreError::Name("zone".into()));
+        assert_eq!(refused(&|i| i.machine_type = "é".into()), StoreError::Name("machineType".into()));
+        assert_eq!(refused(&|i| i.host_port.set_port(0)), StoreError::Registration);
         let bad_ttl =
             Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 10, at_ms: 0 };
         assert_eq!(store.apply(&bad_ttl), Err(StoreError::Ttl(10)));
--- a/tests/fleet/durable.rs
+++ b/tests/fleet/durable.rs
@@ -74,7 +74,7 @@
     drop(again);
 
     // A write cut short at the end: cut off at start, and nothing acknowledged is missing.
-    let log = dir.join("commands.log");
+    let log = dir.join("raft.log");
     std::fs::OpenOptions::new()
         .append(true)
         .open(&log)
@@ -91,7 +91,7 @@
     std::fs::write(&log, &bytes).expect("the log is written");
     match fleet.registry(&config(&dir)) {
         Err(StartError::Said(line)) => {
-            assert!(line.contains("commands.log") && line.contains("at byte"), "{line}")
+            assert!(line.contains("raft.log") && line.contains("at byte"), "{line}")
         }
         Err(other) => panic!("not told clearly: {other:?}"),
         Ok(_) => panic!("a damaged log was taken in"),
