Keep the proxy's list on disk on request, and spread watchers that lost their node

Change: list_cache in the proxy's JSON (off without it) keeps the last list; with several addresses a proxy begins at a drawn one and waits a full-jittered backoff from 300 ms. One address: as before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use gannetproxy::proxy::config::Config;
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
+use gannetproxy::proxy::listcache::ListCache;
 use gannetproxy::proxy::server::{self, Server};
 use gannetproxy::registry::{self, RegistryConfig};
 use std::process::ExitCode;
@@ -34,8 +35,15 @@
     eprintln!("dewpier: listening on {address}");
     let (clients, backends) = shared_out(config.sockets);
     let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, backends);
+    let (cache, known) = match config.list_cache {
+        None => (None, config.known),
+        Some(path) => {
+            let (cache, known) = ListCache::open(&path, config.known);
+            (Some(cache), known)
+        }
+    };
     let discovery =
-        Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
+        Discovery::start(config.discovery, known, cache, &config.wire, &config.settings, engine.clone());
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
             match Config::moved_discovery() {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,10 +1,12 @@
 //! What a proxy is told at its start: environment and JSON, turned into the module's settings.
 
-use super::discovery::{self, RawList};
+use super::discovery;
+use super::lists::RawList;
 use crate::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -56,6 +58,8 @@
     pub sockets: usize,
     /// The list of backends as last had.
     pub known: RawList,
+    /// Where the list is kept on disk for a start without a list service (`listcache`); none: nowhere.
+    pub list_cache: Option<PathBuf>,
     /// What the module is told.
     pub settings: Settings,
     /// What only the proxy needs of the settings.
@@ -89,6 +93,8 @@
     limits: Limits,
     #[serde(default)]
     known: RawList,
+    #[serde(default)]
+    list_cache: Option<PathBuf>,
     settings: RawSettings,
 }
 
@@ -306,7 +312,16 @@
             quantum: raw.quantum,
         };
         let sockets = file.limits.sockets;
-        Ok(Self { listen, discovery, seed, sockets, known: file.known, settings, wire })
+        Ok(Self {
+            listen,
+            discovery,
+            seed,
+            sockets,
+            known: file.known,
+            list_cache: file.list_cache,
+            settings,
+            wire,
+        })
     }
 }
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -3,13 +3,14 @@
 use super::backend::{self, Peer};
 use super::config::WireSettings;
 use super::engine::{Clock, Engine};
+use super::listcache::{self, ListCache};
+use super::lists::{Lifecycle, RawEntry, RawList};
 use crate::{BackendId, Entry, Settings, Status, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,46 +27,13 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
-/// Where discovery has several addresses, the waits are drawn between this part of the backoff and all of
-/// it ("equal jitter"), so that proxies that lost the same node do not all come back to the next together.
-const JITTER_FLOOR: f64 = 0.5;
+/// The same where discovery has several addresses: each wait is drawn from the whole backoff ("full jitter"), so
+/// that proxies that lost the same node come to the next one spread over the first 300 ms, not together.
+const SPREAD: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(1)];
 /// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
 /// memory, of the 32 MB that a proxy may have.
 const MOST_BYTES: usize = 1 << 20;
 
-/// A list as discovery writes it.
-#[derive(Debug, Default, Deserialize)]
-pub struct RawList {
-    generation: u64,
-    reset: bool,
-    instances: Vec<RawEntry>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawEntry {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: u32,
-    lifecycle: Lifecycle,
-    weight: Option<f64>,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum Lifecycle {
-    Serving,
-    Draining,
-    Deleted,
-}
-
 /// News of the list, as the engine hands it to the module.
 #[derive(Debug)]
 pub enum News {
@@ -164,8 +132,8 @@
 /// Keeps the engine's list fresh.
 ///
 /// With one address, as the bench gives it, that agent is asked and asked again. With several, the nodes of
-/// one list service, a call that fails moves on to the next address after a backoff that doubles from 50 ms
-/// to 1 s, jittered; a whole list older than the one known is refused there, since all nodes count one
+/// one list service, it begins at one drawn by its seed, so that the proxies share out over the nodes, and a call
+/// that fails moves on to the next after a jittered backoff (`SPREAD`); a whole list older than the one known is refused there, since all nodes count one
 /// revision and a node that is behind must not take the proxy back. While none answers, the last list holds.
 pub struct Discovery {
     addresses: RefCell<Vec<SocketAddr>>,
@@ -183,6 +151,8 @@
     wait: Duration,
     /// The module says when to call again after a failure.
     asked: bool,
+    /// Keeps the list on disk, where the configuration says so.
+    cache: Option<Rc<RefCell<ListCache>>>,
 }
 
 impl Discovery {
@@ -190,6 +160,7 @@
     pub fn start(
         addresses: Vec<SocketAddr>,
         known: RawList,
+        cache: Option<ListCache>,
         wire: &WireSettings,
         settings: &Settings,
         engine: Rc<Engine>,
@@ -199,18 +170,24 @@
         let seed = addresses
             .iter()
             .fold(u64::from(settings.me as u32), |h, a| h.rotate_left(7) ^ number_of(&a.to_string()) as u64);
+        let mut jitter = SmallRng::seed_from_u64(seed);
+        let current = if addresses.len() > 1 { jitter.random_range(0..addresses.len()) } else { 0 };
         let discovery = Rc::new(Self {
             addresses: RefCell::new(addresses),
-            current: Cell::new(0),
-            jitter: RefCell::new(SmallRng::seed_from_u64(seed)),
+            current: Cell::new(current),
+            jitter: RefCell::new(jitter),
             moved: Notify::new(),
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
             watching: Cell::new(false),
             wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
             asked: settings.must_watch,
+            cache: cache.map(|cache| Rc::new(RefCell::new(cache))),
             engine,
         });
+        if let Some(cache) = discovery.cache.clone() {
+            tokio::task::spawn_local(listcache::keep(cache));
+        }
         discovery.engine.set_discovery(&discovery);
         let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
         discovery.engine.news(News::Remembered(listed));
@@ -246,7 +223,12 @@
             return backoff;
         }
         self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
-        backoff.mul_f64(self.jitter.borrow_mut().random_range(JITTER_FLOOR..=1.0))
+        backoff.mul_f64(self.jitter.borrow_mut().random_range(0.0..=1.0))
+    }
+
+    /// Bounds of the wait after a call that failed.
+    fn backoffs(&self) -> [Duration; 2] {
+        if self.several() { SPREAD } else { BACKOFF }
     }
 
     /// Begins a watch, if none is on, or ends it.
@@ -273,7 +255,7 @@
     /// is told and says when.
     async fn watch_loop(self: Rc<Self>) {
         let mut peer = None;
-        let mut backoff = BACKOFF[0];
+        let mut backoff = self.backoffs()[0];
         while self.watching.get() {
             let (since, wait) = (self.generation.get(), self.wait.as_millis());
             let path = format!("/api/targets?since={since}&timeout_ms={wait}");
@@ -281,7 +263,7 @@
                 biased; // an answer that has come is taken in
                 answer = self.call(&path, self.wait + PATIENCE, &mut peer) => answer,
                 () = self.moved.notified() => {
-                    (peer, backoff) = (None, BACKOFF[0]);
+                    (peer, backoff) = (None, self.backoffs()[0]);
                     continue;
                 }
             };
@@ -296,16 +278,16 @@
             }
             self.take(answer);
             if good {
-                backoff = BACKOFF[0];
+                backoff = self.backoffs()[0];
             } else {
                 // Another node is asked on a new connection.
                 peer = if self.several() { None } else { peer };
                 let wait = self.fail_over(backoff);
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
-                    () = self.moved.notified() => backoff = BACKOFF[0],
+                    () = self.moved.notified() => backoff = self.backoffs()[0],
                 }
-                backoff = (2 * backoff).min(BACKOFF[1]);
+                backoff = (2 * backoff).min(self.backoffs()[1]);
             }
         }
     }
@@ -315,6 +297,9 @@
         match answer {
             Ok(list) => {
                 self.generation.set(list.generation);
+                if let Some(cache) = &self.cache {
+                    cache.borrow_mut().take(&list);
+                }
                 let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
                 let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
                 self.engine.news(news);
--- /dev/null
+++ b/src/proxy/listcache.rs
@@ -0,0 +1,101 @@
+//! The last list on disk, for a proxy that starts while no list service answers. Off unless the configuration
+//! names a file (`list_cache`); the bench's does not, since no disk there survives a proxy.
+//!
+//! The file holds the whole list in discovery's form, replaced whole at most once a second. It is a cache: one
+//! that is missing, damaged or older than the configuration's `known` is passed over, with a line in the log.
+
+use super::lists::{RawEntry, RawList};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Least time between two writes of the file.
+const WRITE_EVERY: Duration = Duration::from_secs(1);
+
+/// The whole list as the answers left it, and the file it goes to.
+pub struct ListCache {
+    entries: BTreeMap<String, RawEntry>,
+    generation: u64,
+    changed: Arc<Notify>,
+    path: PathBuf,
+}
+
+impl ListCache {
+    /// The cache in `path`, and the list to start on: the one on disk, or `known` if that is newer.
+    pub fn open(path: &Path, known: RawList) -> (Self, RawList) {
+        let read = std::fs::read(path).map_err(|e| e.to_string());
+        let kept =
+            read.and_then(|bytes| serde_json::from_slice::<RawList>(&bytes).map_err(|e| e.to_string()));
+        let list = match kept {
+            Ok(kept) if kept.generation > known.generation => kept,
+            Ok(_) => known,
+            Err(error) => {
+                eprintln!("list cache {}: {error}", path.display());
+                known
+            }
+        };
+        let mut cache = Self {
+            entries: BTreeMap::new(),
+            generation: list.generation,
+            changed: Arc::default(),
+            path: path.into(),
+        };
+        cache.merge(&list);
+        (cache, list)
+    }
+
+    fn merge(&mut self, list: &RawList) {
+        if list.reset {
+            self.entries.clear();
+        }
+        for entry in &list.instances {
+            match entry.is_gone() {
+                true => drop(self.entries.remove(&entry.instance_id)),
+                false => drop(self.entries.insert(entry.instance_id.clone(), entry.clone())),
+            }
+        }
+        self.generation = list.generation;
+    }
+
+    /// Takes an answer in, to be written before long.
+    pub fn take(&mut self, list: &RawList) {
+        if list.reset || !list.instances.is_empty() || list.generation != self.generation {
+            self.merge(list);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Told when there is something to write.
+    pub fn changes(&self) -> Arc<Notify> {
+        self.changed.clone()
+    }
+
+    /// The file and its contents now.
+    fn contents(&self) -> (PathBuf, String) {
+        let instances: Vec<&RawEntry> = self.entries.values().collect();
+        let list = json!({"generation": self.generation, "reset": true, "instances": instances});
+        (self.path.clone(), list.to_string())
+    }
+}
+
+/// Writes the cache after each change, at most once each `WRITE_EVERY`, for as long as the proxy runs.
+pub async fn keep(cache: std::rc::Rc<std::cell::RefCell<ListCache>>) {
+    let changed = cache.borrow().changes();
+    loop {
+        changed.notified().await;
+        let (path, contents) = cache.borrow().contents();
+        let written = tokio::task::spawn_blocking(move || {
+            let aside = path.with_extension("new");
+            std::fs::write(&aside, contents)
+                .and_then(|()| std::fs::rename(&aside, &path))
+                .map_err(|e| format!("list cache {}: {e}", path.display()))
+        });
+        if let Ok(Err(error)) = written.await {
+            eprintln!("{error}");
+        }
+        tokio::time::sleep(WRITE_EVERY).await;
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,4 +4,6 @@
 pub mod config;
 pub mod discovery;
 pub mod engine;
+pub mod listcache;
+pub mod lists;
 pub mod server;
--- a/tests/fleet/harness/relay.rs
+++ b/tests/fleet/harness/relay.rs
@@ -11,10 +11,12 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Most connections that one relay holds at once; more are closed at once and counted.
 pub const MOST_CONNECTIONS: usize = 512;
+/// Most connections whose time one relay records.
+pub const MOST_TIMES: usize = 100_000;
 /// Longest wait for the target to take a connection.
 const CONNECT_WITHIN: Duration = Duration::from_secs(2);
 
@@ -43,6 +45,8 @@
 pub struct Counts {
     /// Connections accepted.
     pub accepted: AtomicU64,
+    /// When, for the first `MOST_TIMES` of them.
+    pub times: Mutex<Vec<Instant>>,
     /// Connections closed for the `Drop` fault or for `MOST_CONNECTIONS`.
     pub dropped: AtomicU64,
     /// Connections reset by `reset`, `Cut`, or the lifting of `BlackHole`.
@@ -155,6 +159,11 @@
         let Ok(client) = client else { continue };
         number += 1;
         shared.counts.accepted.fetch_add(1, Ordering::Relaxed);
+        let mut times = lock(&shared.counts.times);
+        if times.len() < MOST_TIMES {
+            times.push(Instant::now());
+        }
+        drop(times);
         let _ = client.set_nodelay(true);
         let fault = *lock(&shared.fault);
         let full = lock(&shared.links).len() >= MOST_CONNECTIONS;
--- a/tests/fleet/replicated.rs
+++ b/tests/fleet/replicated.rs
@@ -1,11 +1,14 @@
 //! The list service on three nodes, with faults between them: what was acknowledged is kept, no watcher sees a
 //! revision go back, a minority serves no writes and marks its reads, and damage or loss of a disk is told.
 
+use crate::harness::backend::Backend;
+use crate::harness::client::{self, Final, Front, Load};
 use crate::harness::cluster::Cluster;
-use crate::harness::process::{Fleet, StartError};
+use crate::harness::process::{Fleet, Process, StartError};
 use crate::harness::registry::{self, registration};
-use crate::harness::relay::Fault;
+use crate::harness::relay::{Fault, Relay};
 use crate::harness::watchers::{Seen, Watchers};
+use crate::harness::{self};
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -313,6 +316,179 @@
     }
 }
 
+/// Registers the backends with a TTL that outlasts the test.
+fn list_backends(at: SocketAddr, backends: &[Backend]) -> u64 {
+    let listed = backends.iter().map(|b| {
+        registry::call(at, "POST", "/v1/register", &registration(b.name(), b.address(), LONG_MS))
+            .filter(|(status, _)| *status == 200)
+            .and_then(|(_, body)| body["revision"].as_u64())
+            .expect("a backend is registered")
+    });
+    listed.max().expect("backends")
+}
+
+/// A proxy's configuration that knows no backend, with its list cached in `cache`.
+fn knows_nothing(me: usize, proxies: usize, cache: &std::path::Path) -> String {
+    let empty = json!({"generation": 0, "reset": true, "instances": []});
+    let config = harness::config(&harness::settings(me, proxies, 0.4), &empty, 0xca5e + me as u64);
+    let mut config: Value = serde_json::from_str(&config).expect("a configuration");
+    config["list_cache"] = json!(cache.display().to_string());
+    config.to_string()
+}
+
+/// All list-service nodes SIGKILLed for `DOWN_MS` (default 2 s, for CI) while traffic goes on: nothing is lost, a
+/// proxy restarted meanwhile serves at once on its list on disk, and the service comes back with every write.
+#[test]
+fn with_all_list_service_nodes_down_proxies_serve_on_and_one_starts_on_its_list_on_disk() {
+    const PROXIES: usize = 3;
+    const RESTARTED: usize = 0;
+    let down: u64 = std::env::var("DOWN_MS").ok().and_then(|r| r.parse().ok()).unwrap_or(2_000);
+    let mut fleet = Fleet::new(Duration::from_secs(60 + down / 1_000));
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    let leader = cluster.leader();
+    let backends: Vec<Backend> = (0..4)
+        .map(|n| Backend::start(&format!("b-{n}"), Duration::from_millis(10)).expect("a backend starts"))
+        .collect();
+    let before = list_backends(cluster.front(leader), &backends[..3]);
+    let caches = fleet.scratch("caches");
+    std::fs::create_dir_all(&caches).expect("a directory for caches");
+    let cache = |n: usize| caches.join(format!("list-{n}.json"));
+    let mut proxies: Vec<Process> = (0..PROXIES)
+        .map(|me| {
+            let config = knows_nothing(me, PROXIES, &cache(me));
+            fleet.proxy_of(&config, &cluster.fronts()).expect("a proxy starts")
+        })
+        .collect();
+    // Each proxy's cache is written once it has the whole list.
+    let deadline = Instant::now() + WITHIN;
+    let cached = |n: usize| {
+        let text = std::fs::read_to_string(cache(n)).unwrap_or_default();
+        serde_json::from_str::<Value>(&text).ok().and_then(|list| list["generation"].as_u64()).unwrap_or(0)
+    };
+    while (0..PROXIES).any(|n| cached(n) < before) {
+        assert!(Instant::now() < deadline, "the lists are cached");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let relays: Vec<Relay> =
+        proxies.iter().map(|p| Relay::start(p.address()).expect("a relay starts")).collect();
+    let front = Front::new(relays.iter().map(Relay::address).collect());
+    let load = |ms: u64, most: usize| Load {
+        clients: 6,
+        most,
+        until: Instant::now() + Duration::from_millis(ms),
+        left_ms: 1_500,
+        pause: Duration::from_millis(5),
+    };
+    let served = |records: &[client::Record]| {
+        let broken: Vec<_> = records.iter().filter(|r| !matches!(r.end, Final::Answered(_))).collect();
+        assert!(broken.is_empty(), "requests without a proper end: {broken:?}");
+        records.iter().filter(|r| r.end == Final::Answered(200)).count() as f64 / records.len() as f64
+    };
+    let up_share = served(&client::run(&front, load(down.min(5_000), 100_000)));
+
+    (0..3).for_each(|n| cluster.kill(n));
+    let killed = Instant::now();
+    // A proxy restarted now knows only what is on its disk.
+    front.take_out(RESTARTED);
+    proxies[RESTARTED].kill();
+    let config = knows_nothing(RESTARTED, PROXIES, &cache(RESTARTED));
+    let restarted = fleet.proxy_of(&config, &cluster.fronts()).expect("the proxy starts again");
+    let alone = Front::new(vec![restarted.address()]);
+    let cold = client::run(&alone, load(WITHIN.as_millis() as u64, 30));
+    let cold_share = served(&cold);
+    let records = client::run(&front, load(down, 1_000_000));
+    let down_share = served(&records);
+    let down_for = killed.elapsed();
+
+    (0..3).for_each(|n| cluster.start_node(&mut fleet, n, "").expect("a node starts again"));
+    let leader = cluster.leader();
+    let (revision, list) = listed(cluster.front(leader));
+    assert_eq!((revision, list.len()), (before, 3), "every acknowledged write is back");
+    // News reaches every proxy again.
+    let after = list_backends(cluster.front(leader), &backends[3..]);
+    let deadline = Instant::now() + WITHIN;
+    while (0..PROXIES).any(|n| cached(n) < after) {
+        assert!(Instant::now() < deadline, "proxies hear of the service's return");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    eprintln!(
+        "all nodes down for {down_for:?}: served {:.2}% of {} (up: {:.2}%), {:.0}% of the restarted proxy's {}",
+        100.0 * down_share,
+        records.len(),
+        100.0 * up_share,
+        100.0 * cold_share,
+        cold.len()
+    );
+    assert!(down_share >= up_share - 0.005, "served {down_share} down, {up_share} up");
+    assert!(cold_share >= 0.95, "the restarted proxy served {cold_share}");
+    let _ = std::fs::remove_dir_all(&caches);
+    fleet.check_deadline();
+}
+
+/// Proxies whose nodes all restart come back spread out: never more than a third of them within 50 ms, and no
+/// more than `MOST_PER_S` calls a second each while there is nobody to answer.
+#[test]
+fn watchers_that_lost_all_nodes_come_back_spread_out() {
+    const PROXIES: usize = 40;
+    const MOST_PER_S: f64 = 4.0;
+    const WINDOW: Duration = Duration::from_millis(50);
+    let mut fleet = Fleet::new(Duration::from_secs(60));
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    let leader = cluster.leader();
+    let backend = Backend::start("b-0", Duration::from_millis(10)).expect("a backend starts");
+    list_backends(cluster.front(leader), std::slice::from_ref(&backend));
+    let empty = json!({"generation": 0, "reset": true, "instances": []});
+    let _proxies: Vec<Process> = (0..PROXIES)
+        .map(|me| {
+            let config = harness::config(&harness::settings(me, PROXIES, 0.4), &empty, 0x4e2d + me as u64);
+            fleet.proxy_of(&config, &cluster.fronts()).expect("a proxy starts")
+        })
+        .collect();
+    let watching =
+        |cluster: &Cluster| -> u64 { (0..3).filter_map(|n| cluster.status(n)?["watching"].as_u64()).sum() };
+    let all_watch = |cluster: &Cluster| {
+        let began = Instant::now();
+        while watching(cluster) < PROXIES as u64 {
+            assert!(began.elapsed() < WITHIN, "{} of {PROXIES} watch", watching(cluster));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    all_watch(&cluster);
+    let shares: Vec<u64> = (0..3).filter_map(|n| cluster.status(n)?["watching"].as_u64()).collect();
+
+    let killed = Instant::now();
+    (0..3).for_each(|n| cluster.kill(n));
+    std::thread::sleep(Duration::from_millis(2_000));
+    let came = |from: Instant| -> Vec<Instant> {
+        let times = |n: usize| {
+            let counts = cluster.front_relay(n).counts();
+            counts.times.lock().unwrap_or_else(|e| e.into_inner()).clone()
+        };
+        let mut all: Vec<Instant> = (0..3).flat_map(times).filter(|t| *t > from).collect();
+        all.sort();
+        all
+    };
+    let tries = came(killed);
+    let per_s = tries.len() as f64 / PROXIES as f64 / killed.elapsed().as_secs_f64();
+    let peak = |times: &[Instant]| {
+        let within = |t: &Instant| times.iter().filter(|o| **o >= *t && **o < *t + WINDOW).count();
+        times.iter().map(within).max().unwrap_or(0)
+    };
+    let peak_down = peak(&tries);
+    (0..3).for_each(|n| cluster.start_node(&mut fleet, n, "").expect("a node starts again"));
+    let restarted = Instant::now();
+    cluster.leader();
+    all_watch(&cluster);
+    eprintln!(
+        "{PROXIES} proxies on three nodes {shares:?}: with all down {per_s:.1} calls a second each, at most          {peak_down} within {WINDOW:?}; all watch {:?} after the restart",
+        restarted.elapsed()
+    );
+    assert!(shares.iter().all(|s| *s >= PROXIES as u64 / 10), "they share out over the nodes: {shares:?}");
+    assert!(peak_down <= PROXIES / 3, "{peak_down} of {PROXIES} within {WINDOW:?}");
+    assert!(per_s <= MOST_PER_S, "{per_s} calls a second each");
+    fleet.check_deadline();
+}
+
 /// One randomized run: three nodes, writers and watchers, and `FAULTS` faults one after another, each lifted
 /// before the next; at the end all nodes are up and agree.
 fn one_run(run: u64) -> (usize, usize, usize) {
