--- a/tests/fleet/duties.rs
+++ b/tests/fleet/duties.rs
@@ -3,6 +3,7 @@
 //! asserts from the resource's record that no two holders' valid acts overlapped, what was fenced off, and
 //! that the duty was taken over within the bound.
 
+use crate::harness::cluster::Cluster;
 use crate::harness::process::{Fleet, Process};
 use crate::harness::relay::{Fault, Relay};
 use crate::harness::resource::{self, Resource};
@@ -178,6 +179,46 @@
     fleet.check_deadline();
 }
 
+/// A leader killed under a holder's renewals, three times over, at different times into a renewal's interval: the
+/// holder keeps its duty or another takes it, and no two act.
+#[test]
+fn a_leader_change_during_renewals_leaves_one_holder() {
+    const ROUNDS: u64 = 3;
+    const TTL: u64 = 2_000;
+    /// Longest silence of the duty: the TTL where the holder lapses, an election, and a call that meets it.
+    const SILENCE: Duration = Duration::from_millis(TTL + 1_500);
+    let mut fleet = Fleet::new(Duration::from_secs(60));
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    cluster.leader();
+    let resource = Resource::start().expect("the resource starts");
+    let nodes: Vec<String> = cluster.fronts().iter().map(|a| format!("\"{a}\"")).collect();
+    let config = |holder: &str, rate: f64| {
+        let one = config_of(cluster.front(0), "warm", holder, resource.address(), rate, TTL);
+        one.replacen(&format!("[\"{}\"]", cluster.front(0)), &format!("[{}]", nodes.join(", ")), 1)
+    };
+    let _a = fleet.holder(&config("h-a", 0.98)).expect("a holder starts");
+    resource.first_above(0, Duration::from_secs(5)).expect("the first holder acts");
+    let _b = fleet.holder(&config("h-b", 1.02)).expect("another starts");
+    let mut kept = 0;
+    for round in 0..ROUNDS {
+        pass(Duration::from_millis(700 + round * TTL / 3 / ROUNDS));
+        let token = resource.acts().last().map(|act| act.token).expect("acts");
+        let leader = cluster.leader();
+        cluster.kill(leader);
+        pass(SILENCE);
+        cluster.start_node(&mut fleet, leader, "").expect("the node starts again");
+        kept += u64::from(resource.acts().last().is_some_and(|act| act.token == token));
+    }
+    let acts = resource.acts();
+    let tally = resource::tally(&acts);
+    let silence = acts.windows(2).map(|w| w[1].at - w[0].at).max().expect("acts");
+    eprintln!("{ROUNDS} leader changes: kept {kept} times, longest silence {silence:?}, {tally:?}");
+    assert_eq!((tally.late, tally.fenced, tally.overlapping), (0, 0, 0), "{tally:?}");
+    assert!(silence <= SILENCE, "the duty lay idle for {silence:?}");
+    assert!(acts.last().is_some_and(|act| act.at.elapsed() < SILENCE), "it is held at the end");
+    fleet.check_deadline();
+}
+
 /// What one randomized run showed.
 struct RunFigures {
     tally: resource::Tally,
