--- /dev/null
+++ b/lab/src/http.rs
@@ -0,0 +1,176 @@
+//! The little HTTP/1.1 that the stand-ins speak: a message read whole, with the time of its first byte, and
+//! answers written in one piece. Bodies go by `Content-Length` only, as `PROTOCOL` allows.
+
+use std::time::Instant;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Largest body taken in: the longest list that a proxy takes is 1 MiB, bodies of requests are at most 64 KiB.
+pub const MOST_BODY: usize = 1 << 20;
+/// Largest head (request or status line and headers).
+pub const MOST_HEAD: usize = 16 << 10;
+
+/// Why no message came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ReadError {
+    /// The connection ended cleanly before the first byte.
+    #[error("closed")]
+    Closed,
+    /// It broke, or ended inside a message.
+    #[error("broken")]
+    Broken,
+    /// What came is not a message of the form, or too long.
+    #[error("malformed")]
+    Malformed,
+}
+
+/// A request or an answer as read.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// The request line or the status line, without its line end.
+    pub first: String,
+    /// Headers with lower-case names, in their order.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When its first byte was read: the time that a drain counts from.
+    pub began: Instant,
+}
+
+impl Message {
+    /// The first header of that (lower-case) name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// The status of an answer; 0 for a request or a malformed line.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Method and target of a request.
+    pub fn method_target(&self) -> (&str, &str) {
+        let mut parts = self.first.split(' ');
+        (parts.next().unwrap_or(""), parts.next().unwrap_or(""))
+    }
+
+    /// Whether its sender closes the connection behind it.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// A connection with what has been read of the next message.
+pub struct Conn<S = TcpStream> {
+    stream: S,
+    buffer: Vec<u8>,
+    began: Option<Instant>,
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Conn<S> {
+    /// Around a connected stream.
+    pub fn new(stream: S) -> Self {
+        Self { stream, buffer: Vec::new(), began: None }
+    }
+
+    /// The stream itself.
+    pub fn stream(&self) -> &S {
+        &self.stream
+    }
+
+    /// Whether nothing of a next message has come.
+    pub fn is_clean(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Reads the next message whole. Cancelling it loses nothing: what was read stays for the next call.
+    ///
+    /// # Errors
+    /// As [`ReadError`] says.
+    pub async fn read(&mut self) -> Result<Message, ReadError> {
+        loop {
+            if let Some(message) = self.parse()? {
+                return Ok(message);
+            }
+            let mut piece = [0u8; 4096];
+            match self.stream.read(&mut piece).await {
+                Ok(0) if self.buffer.is_empty() => return Err(ReadError::Closed),
+                Ok(0) | Err(_) => return Err(ReadError::Broken),
+                Ok(n) => {
+                    self.began.get_or_insert_with(Instant::now);
+                    self.buffer.extend_from_slice(&piece[..n]);
+                }
+            }
+        }
+    }
+
+    /// Takes a whole message off the buffer, if one is there.
+    fn parse(&mut self) -> Result<Option<Message>, ReadError> {
+        let end = self.buffer.windows(4).position(|w| w == b"\r\n\r\n");
+        let Some(end) = end else {
+            return if self.buffer.len() > MOST_HEAD { Err(ReadError::Malformed) } else { Ok(None) };
+        };
+        let head = std::str::from_utf8(&self.buffer[..end]).map_err(|_| ReadError::Malformed)?;
+        let mut lines = head.split("\r\n");
+        let first = lines.next().unwrap_or("").to_string();
+        let header = |line: &str| {
+            let (name, value) = line.split_once(':')?;
+            Some((name.trim().to_ascii_lowercase(), value.trim().to_string()))
+        };
+        let headers: Option<Vec<_>> = lines.map(header).collect();
+        let headers = headers.ok_or(ReadError::Malformed)?;
+        let length = headers.iter().find(|(n, _)| n == "content-length").map_or(Ok(0), |(_, v)| v.parse());
+        let length: usize = length.map_err(|_| ReadError::Malformed)?;
+        if first.split(' ').count() < 2 || length > MOST_BODY {
+            return Err(ReadError::Malformed);
+        }
+        let whole = end + 4 + length;
+        if self.buffer.len() < whole {
+            return Ok(None);
+        }
+        let body = self.buffer[end + 4..whole].to_vec();
+        self.buffer.drain(..whole);
+        let began = self.began.take().unwrap_or_else(Instant::now);
+        self.began = (!self.buffer.is_empty()).then(Instant::now);
+        Ok(Some(Message { first, headers, body, began }))
+    }
+
+    /// Writes bytes whole.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+}
+
+/// An answer in one piece; `more` holds further header lines, each ended by `\r\n`.
+pub fn answer(status: u16, reason: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let mut bytes =
+        format!("HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n{more}\r\n", body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn messages_in_pieces_and_together_are_read_whole_and_bad_ones_are_told() {
+        let (mut far, near) = tokio::io::duplex(1 << 16);
+        let mut conn = Conn::new(near);
+        let two = [answer(200, "OK", "X-A: 1\r\n", b"one"), answer(503, "No", "", b"")].concat();
+        for piece in two.chunks(7) {
+            far.write_all(piece).await.expect("written");
+        }
+        let (one, other) = (conn.read().await.expect("one"), conn.read().await.expect("another"));
+        assert_eq!((one.status(), one.header("x-a"), one.body.as_slice()), (200, Some("1"), &b"one"[..]));
+        assert_eq!((other.status(), conn.is_clean()), (503, true));
+        far.write_all(b"nonsense\r\n\r\n").await.expect("written");
+        assert_eq!(conn.read().await.unwrap_err(), ReadError::Malformed);
+        let mut conn = Conn::new(tokio::io::duplex(16).0);
+        assert_eq!(conn.read().await.unwrap_err(), ReadError::Closed);
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,22 @@
+//! The fleet lab: emulated backends, clients, links and faults around real processes of the program, and the
+//! experiments played on them. The tests of the fleet use its pieces as a library.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod backend;
+pub mod calls;
+pub mod client;
+pub mod cluster;
+pub mod compare;
+pub mod groups;
+pub mod http;
+pub mod links;
+pub mod model;
+pub mod plots;
+pub mod process;
+pub mod record;
+pub mod report;
+pub mod rt;
+pub mod run;
+pub mod spec;
+pub mod stage;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,218 @@
+//! The fleet lab's commands.
+
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use fleetlab::compare;
+use fleetlab::report::Report;
+use fleetlab::rt::Loop;
+use fleetlab::run::{self, Options, default_program};
+use fleetlab::spec::{Experiment, setting};
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// The demo's experiment.
+const DEMO: &str = include_str!("../experiments/demo.toml");
+
+/// Plays experiments on fleets of real proxies among emulated backends and clients.
+///
+/// Exit codes: 0 held; 1 something that must not happen did, or a bound was passed; 2 bad arguments or file, or
+/// the fleet could not be started; 3 the lab itself was too late for the run to be trusted; 130 interrupted.
+#[derive(Parser)]
+#[command(name = "fleetlab", version, about, long_about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays an experiment once: `fleetlab run lab/experiments/crash20.toml --seed 3 --out out/crash20`.
+    Run {
+        /// The experiment's file.
+        file: String,
+        /// The seed of every random choice.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where report.json, summary.txt and the plots go.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+        /// Overrides of the file, `key=value`, as `load.rate=200`.
+        #[arg(long)]
+        set: Vec<String>,
+    },
+    /// Plays two builds in turn on the same seeds and tells what differs.
+    Compare {
+        /// The experiment's file.
+        file: String,
+        /// The first build.
+        #[arg(long)]
+        a: PathBuf,
+        /// The second build.
+        #[arg(long)]
+        b: PathBuf,
+        /// Seeds, `from..to`, both included.
+        #[arg(long, default_value = "1..5")]
+        seeds: String,
+        /// Overrides of the file for both.
+        #[arg(long)]
+        set: Vec<String>,
+        /// Overrides for the second only, as `proxies.dealer="random"` for a baseline.
+        #[arg(long)]
+        set_b: Vec<String>,
+    },
+    /// Plays an experiment once for each value of a key.
+    Sweep {
+        /// The experiment's file.
+        file: String,
+        /// The key and its values, as `load.rate=100,200,400`.
+        #[arg(long)]
+        set: String,
+        /// The seed of every random choice.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+    },
+    /// Three list-service nodes, 8 proxies and 12 backends for 20 s with a crash and a partition: tells what held.
+    Demo {
+        /// Where the report and the plots go.
+        #[arg(long, default_value = "target/demo")]
+        out: PathBuf,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+    },
+}
+
+/// What a command came to: its exit code.
+type Ended = Result<u8, String>;
+
+fn main() -> ExitCode {
+    let stop = Arc::new(AtomicBool::new(false));
+    let told = stop.clone();
+    Loop::shared().spawn(move || async move {
+        while tokio::signal::ctrl_c().await.is_ok() {
+            told.store(true, Ordering::SeqCst);
+        }
+    });
+    let ended = match Cli::parse().command {
+        Command::Run { file, seed, out, proxy_binary, set } => {
+            read(&file, &set).and_then(|e| one(&e, options(proxy_binary, seed, out, &stop)))
+        }
+        Command::Compare { file, a, b, seeds, set, set_b } => {
+            compare_two(&file, [a, b], &seeds, &set, &set_b, &stop)
+        }
+        Command::Sweep { file, set, seed, proxy_binary } => {
+            sweep(&file, &set, options(proxy_binary, seed, None, &stop))
+        }
+        Command::Demo { out, proxy_binary } => demo(options(proxy_binary, 1, Some(out), &stop)),
+    };
+    match ended {
+        Ok(code) => ExitCode::from(if stop.load(Ordering::SeqCst) { 130 } else { code }),
+        Err(why) => {
+            eprintln!("fleetlab: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn options(program: Option<PathBuf>, seed: u64, out: Option<PathBuf>, stop: &Arc<AtomicBool>) -> Options {
+    let progress = std::io::stderr().is_terminal();
+    Options { program: program.unwrap_or_else(default_program), seed, out, progress, stop: stop.clone() }
+}
+
+fn read(file: &str, set: &[String]) -> Result<Experiment, String> {
+    let set = set.iter().map(|s| setting(s)).collect::<Result<Vec<_>, _>>()?;
+    Experiment::read(file, &set).map_err(|e| e.to_string())
+}
+
+fn code(report: &Report) -> u8 {
+    match (report.violations.count, report.lab.trusted) {
+        (0, true) => 0,
+        (0, false) => 3,
+        _ => 1,
+    }
+}
+
+fn one(experiment: &Experiment, options: Options) -> Ended {
+    let report = run::run(experiment, &options).map_err(|e| e.to_string())?;
+    print!("{}", report.text());
+    if let Some(out) = &options.out {
+        println!("  report and plots: {}", out.display());
+    }
+    Ok(code(&report))
+}
+
+fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+    let bad = || format!("seeds {text}: expected from..to");
+    let (from, to) = text.split_once("..").ok_or_else(bad)?;
+    let (from, to) =
+        (from.parse().map_err(|_| bad())?, to.trim_start_matches('=').parse().map_err(|_| bad())?);
+    if from > to { Err(bad()) } else { Ok(from..=to) }
+}
+
+fn compare_two(
+    file: &str,
+    programs: [PathBuf; 2],
+    range: &str,
+    set: &[String],
+    set_b: &[String],
+    stop: &Arc<AtomicBool>,
+) -> Ended {
+    let both = [set.to_vec(), [set, set_b].concat()];
+    let experiments = [read(file, &both[0])?, read(file, &both[1])?];
+    let (mut reports, mut worst) = ([Vec::new(), Vec::new()], 0);
+    for seed in seeds(range)? {
+        for (n, program) in programs.iter().enumerate() {
+            let options = options(Some(program.clone()), seed, None, stop);
+            let report = run::run(&experiments[n], &options).map_err(|e| e.to_string())?;
+            if report.partial {
+                return Ok(1);
+            }
+            eprint!("{} {}", ["A", "B"][n], report.text());
+            worst = worst.max(code(&report));
+            reports[n].push(report);
+        }
+    }
+    println!("A: {}\nB: {}", programs[0].display(), programs[1].display());
+    print!("{}", compare::table(&reports[0], &reports[1]));
+    Ok(worst)
+}
+
+fn sweep(file: &str, set: &str, options: Options) -> Ended {
+    let (key, values) = set.split_once('=').ok_or_else(|| format!("{set}: expected key=v1,v2,v3"))?;
+    let mut worst = 0;
+    for value in values.split(',') {
+        let experiment = read(file, &[format!("{key}={value}")])?;
+        println!("{key} = {value}");
+        worst = worst.max(one(&experiment, options.clone())?);
+        if options.stop.load(Ordering::SeqCst) {
+            break;
+        }
+    }
+    Ok(worst)
+}
+
+fn demo(options: Options) -> Ended {
+    let experiment: Experiment = toml::from_str(DEMO).map_err(|e| e.to_string())?;
+    println!("{}", experiment.about);
+    let out = options.out.clone();
+    let report = run::run(&experiment, &options).map_err(|e| e.to_string())?;
+    print!("{}", report.text());
+    let held = |ok: bool| if ok { "held" } else { "BROKEN" };
+    println!("every request had exactly one end: {}", held(report.whole.requests.lost == 0));
+    println!("no rule was broken: {}", held(report.violations.count == 0));
+    println!("served in time, by worth: {:.1}%", 100.0 * report.whole.worth.share);
+    if let Some(out) = out {
+        println!("look at {}/requests.svg and load.svg", out.display());
+    }
+    Ok(code(&report))
+}
