--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -327,13 +327,14 @@
                     ),
                 }
             };
-            let mut reports = self.reports.borrow_mut();
-            reports.push_back((now, text));
-            // The one in force is the latest that is old enough; older ones are no use any more.
-            while reports.len() > 1 && reports[1].0 <= now - self.ills.get().late_reports {
-                reports.pop_front();
+            {
+                let mut reports = self.reports.borrow_mut();
+                reports.push_back((now, text));
+                // The one in force is the latest that is old enough; older ones are no use any more.
+                while reports.len() > 1 && reports[1].0 <= now - self.ills.get().late_reports {
+                    reports.pop_front();
+                }
             }
-            drop(reports);
             tokio::select! {
                 () = tokio::time::sleep(Duration::from_secs_f64(self.report_every)) => {}
                 _ = dead.changed() => return,
--- a/lab/src/plots.rs
+++ b/lab/src/plots.rs
@@ -9,6 +9,8 @@
 use std::path::Path;
 
 type Drawn = Result<(), Box<dyn std::error::Error>>;
+/// A line's name, points and color.
+type Line = (&'static str, Vec<(f64, f64)>, RGBColor);
 const SIZE: (u32, u32) = (1100, 480);
 /// Most proxies drawn as lines of their own.
 const MOST_LINES: usize = 60;
@@ -35,7 +37,7 @@
         bins.iter().take(seconds).enumerate().map(|(s, n)| (s as f64 + 0.5, *n)).collect()
     };
     let is = |outcome: Outcome| move |e: &End| e.outcome == outcome;
-    let lines: [(&str, Vec<(f64, f64)>, RGBColor); 6] = [
+    let lines: [Line; 6] = [
         ("offered", count(&|_| true), BLACK),
         ("served", count(&is(Outcome::Served)), RGBColor(0, 130, 60)),
         ("refused", count(&is(Outcome::Refused)), RGBColor(220, 140, 0)),
--- a/lab/src/stage.rs
+++ b/lab/src/stage.rs
@@ -30,9 +30,12 @@
 
 thread_local! {
     static BACKENDS: RefCell<Option<Backends>> = const { RefCell::new(None) };
-    static FRONT: RefCell<Option<(Rc<Front>, Rc<Cell<bool>>)>> = const { RefCell::new(None) };
+    static FRONT: RefCell<Option<Playing>> = const { RefCell::new(None) };
 }
 
+/// The front, and what stops its clients.
+type Playing = (Rc<Front>, Rc<Cell<bool>>);
+
 struct Backends {
     world: Rc<World>,
     /// The machine in each place, and those that stood there before.
--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -36,7 +36,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -63,6 +63,9 @@
     writing: Cell<usize>,
     most_watchers: usize,
     write_within: Duration,
+    /// The latest news as text, with the revisions it leads from and to: most watchers wait at one revision, and
+    /// are sent the same.
+    latest: RefCell<Option<(u64, u64, Bytes)>>,
 }
 
 /// Why a write is not done: the status, the reason, and whether it may still come to be applied.
@@ -142,9 +145,16 @@
     json_reply(status, json!({"error": text.to_string()}).to_string())
 }
 
-fn list(answer: &Answer) -> Reply {
-    let body = json!({"generation": answer.revision, "reset": answer.reset, "instances": answer.instances});
-    json_reply(StatusCode::OK, body.to_string())
+fn list(answer: &Answer) -> Bytes {
+    json!({"generation": answer.revision, "reset": answer.reset, "instances": answer.instances})
+        .to_string()
+        .into()
+}
+
+fn list_reply(body: Bytes) -> Reply {
+    let mut reply = json_reply(StatusCode::OK, String::new());
+    *reply.body_mut() = Full::new(body);
+    reply
 }
 
 /// A query parameter as a number; `Err` where it is there but not one.
@@ -202,7 +212,8 @@
     /// An API over `node` that lets at most `most_watchers` watches wait at once (more are refused, 503) and
     /// gives a write up after `write_within`.
     pub fn new(node: Rc<Node>, most_watchers: usize, write_within: Duration) -> Self {
-        Self { node, watching: Cell::new(0), writing: Cell::new(0), most_watchers, write_within }
+        let (watching, writing) = (Cell::new(0), Cell::new(0));
+        Self { node, watching, writing, most_watchers, write_within, latest: RefCell::default() }
     }
 
     /// Watches waiting now.
@@ -282,22 +293,39 @@
             (Ok(since), Ok(wait)) => (since, wait.unwrap_or(0).min(MOST_WAIT_MS)),
             (Err(e), _) | (_, Err(e)) => return error(StatusCode::BAD_REQUEST, e),
         };
-        let Some(since) = since else { return list(&self.node.shared().store().full()) };
+        let Some(since) = since else { return list_reply(list(&self.node.shared().store().full())) };
         if self.watching.get() >= self.most_watchers {
             return undone(StatusCode::SERVICE_UNAVAILABLE, "too many watches", None).into();
         }
         let _watching = Counted::one(&self.watching);
-        let answer = self.node.watch(since, Duration::from_millis(wait)).await;
+        let news = self.node.news(since, Duration::from_millis(wait)).await;
         let revision = self.node.revision();
-        match answer {
-            Some(answer) => list(&answer),
-            None if since <= revision => list(&Answer { revision, reset: false, instances: Vec::new() }),
-            None => {
+        if news {
+            return list_reply(self.news(since));
+        }
+        match since <= revision {
+            true => list_reply(list(&Answer { revision, reset: false, instances: Vec::new() })),
+            false => {
                 error(StatusCode::SERVICE_UNAVAILABLE, format!("this node is at {revision}, behind {since}"))
             }
         }
     }
 
+    /// The news since a revision, as text.
+    fn news(&self, since: u64) -> Bytes {
+        let store = self.node.shared().store();
+        let now = store.revision();
+        if let Some((from, to, body)) = self.latest.borrow().as_ref()
+            && (*from, *to) == (since, now)
+        {
+            return body.clone();
+        }
+        let empty = || Answer { revision: now, reset: false, instances: Vec::new() };
+        let body = list(&store.since(since).unwrap_or_else(empty));
+        *self.latest.borrow_mut() = Some((since, now, body.clone()));
+        body
+    }
+
     /// Has a write done here or by the node that leads; a refusal is its status and its reason.
     async fn write(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
         let command = command(path, &body)?;
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -14,7 +14,7 @@
 use super::raft::machine::{Machine, Shared};
 use super::raft::network::{CallError, Network, Peer, SNAPSHOT_CHUNK};
 use super::raft::{Applied, NodeId, Raft};
-use super::store::{Answer, Command, StoreError};
+use super::store::{Command, StoreError};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -416,21 +416,18 @@
         self.shared.store().revision()
     }
 
-    /// A watch: the news since `since` as soon as there is any, or `None` after `wait` without news.
-    pub async fn watch(&self, since: u64, wait: Duration) -> Option<Answer> {
+    /// Waits until there is news since revision `since`, at most `wait`; whether there is.
+    pub async fn news(&self, since: u64, wait: Duration) -> bool {
         let mut revisions = self.shared.revisions();
         let news = async {
-            loop {
-                if let Some(answer) = self.shared.store().since(since) {
-                    return answer;
-                }
+            while !self.shared.store().has_news(since) {
                 if revisions.changed().await.is_err() {
                     // The node is going away: wait out the time.
                     std::future::pending::<()>().await;
                 }
             }
         };
-        tokio::time::timeout(wait, news).await.ok()
+        tokio::time::timeout(wait, news).await.is_ok()
     }
 
     /// Waits until Raft's standing changes, or `ROUND` at most.
--- a/src/registry/raft/machine.rs
+++ b/src/registry/raft/machine.rs
@@ -21,6 +21,8 @@
 const SNAPSHOT: &str = "raft.snapshot";
 
 type Meta = SnapshotMeta<super::NodeId, openraft::EmptyNode>;
+/// The latest snapshot, shared with whoever builds the next.
+type Latest = Arc<Mutex<Option<(Meta, Arc<Vec<u8>>)>>>;
 
 /// The store, shared between the log that changes it and the calls that read it.
 #[derive(Clone)]
@@ -64,7 +66,7 @@
     shared: Shared,
     applied: Option<LogId>,
     membership: Membership,
-    snapshot: Arc<Mutex<Option<(Meta, Arc<Vec<u8>>)>>>,
+    snapshot: Latest,
     dir: Option<PathBuf>,
 }
 
@@ -216,7 +218,7 @@
 /// Writes one snapshot, taken when it was made.
 pub struct Builder {
     kept: Kept,
-    snapshot: Arc<Mutex<Option<(Meta, Arc<Vec<u8>>)>>>,
+    snapshot: Latest,
     dir: Option<PathBuf>,
 }
 
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -484,6 +484,13 @@
         Some(Answer { revision: self.revision, reset: false, instances })
     }
 
+    /// Whether [`Store::since`] has an answer.
+    pub fn has_news(&self, since: u64) -> bool {
+        let kept_from = self.changes.front().map_or(self.revision + 1, |(r, _)| *r);
+        since < self.revision
+            && (since + 1 < kept_from || self.changes.back().is_some_and(|(r, _)| *r > since))
+    }
+
     /// The time of a command, never below one applied before.
     fn time(&mut self, at_ms: u64) -> u64 {
         self.clock_ms = self.clock_ms.max(at_ms);
@@ -599,6 +606,7 @@
                 if stops.contains(&i) {
                     continue;
                 }
+                prop_assert_eq!(store.has_news(seen), store.since(seen).is_some());
                 if let Some(answer) = store.since(seen) {
                     prop_assert!(answer.revision > seen);
                     if answer.reset {
