--- /dev/null
+++ b/lab/src/fake.rs
@@ -0,0 +1,148 @@
+//! A plain fake backend, for tests of single points: it answers every request 200 with its name after a fixed
+//! time, and records each with the time of its first byte, so that a test can count copies and late sends.
+//! Experiments play the backends of [`crate::backend`] instead.
+
+use crate::http::{Conn, ReadError, answer};
+use crate::rt::Loop;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Most connections served at once; more are closed at once, as a full backend would.
+pub const MOST_CONNECTIONS: usize = 256;
+/// Most requests recorded; more are answered but not recorded, and `overflowed` says so.
+pub const MOST_RECORDED: usize = 100_000;
+/// How long a connection may stay idle before the backend closes it.
+const IDLE_CLOSE: Duration = Duration::from_secs(30);
+
+/// One request as the backend saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// When its first byte was read.
+    pub at: Instant,
+    /// `X-Txn`, or empty.
+    pub txn: String,
+    /// `X-Lane`, or empty.
+    pub lane: String,
+}
+
+struct Shared {
+    name: String,
+    service: Duration,
+    seen: Mutex<Vec<Seen>>,
+    open: AtomicUsize,
+    overflowed: AtomicUsize,
+}
+
+/// A running fake backend; it ends with the process.
+pub struct Backend {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+impl Shared {
+    fn seen(&self) -> MutexGuard<'_, Vec<Seen>> {
+        self.seen.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+impl Backend {
+    /// Starts one on a loopback port that the system chooses.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub fn start(name: &str, service: Duration) -> std::io::Result<Self> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            name: name.to_string(),
+            service,
+            seen: Mutex::default(),
+            open: AtomicUsize::new(0),
+            overflowed: AtomicUsize::new(0),
+        });
+        let serving = shared.clone();
+        Loop::shared().spawn(move || async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) if serving.open.load(Ordering::SeqCst) < MOST_CONNECTIONS => {
+                        let serving = serving.clone();
+                        serving.open.fetch_add(1, Ordering::SeqCst);
+                        tokio::task::spawn_local(async move {
+                            serve(stream, &serving).await;
+                            serving.open.fetch_sub(1, Ordering::SeqCst);
+                        });
+                    }
+                    Ok(_) => {}
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                }
+            }
+        });
+        Ok(Self { shared, address })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its name, as its answers carry it.
+    pub fn name(&self) -> &str {
+        &self.shared.name
+    }
+
+    /// Every request recorded so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.seen().clone()
+    }
+
+    /// Requests that came past `MOST_RECORDED`.
+    pub fn overflowed(&self) -> usize {
+        self.shared.overflowed.load(Ordering::Relaxed)
+    }
+}
+
+async fn serve(stream: TcpStream, shared: &Shared) {
+    let _ = stream.set_nodelay(true);
+    let mut conn = Conn::new(stream);
+    loop {
+        let message = match tokio::time::timeout(IDLE_CLOSE, conn.read()).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(ReadError::Malformed)) => {
+                let _ = conn.write(&answer(400, "Bad Request", "", b"")).await;
+                return;
+            }
+            Ok(Err(_)) | Err(_) => return,
+        };
+        let (_, target) = message.method_target();
+        let body = if target.starts_with("/-/") {
+            // Probes: healthy, and no load report.
+            b"ok".to_vec()
+        } else {
+            let header = |name: &str| message.header(name).unwrap_or("").to_string();
+            let (txn, lane) = (header("x-txn"), header("x-lane"));
+            // The request's own id comes back, so that a client can tell its answer from another's.
+            let body = format!("{txn} served by {}", shared.name).into_bytes();
+            let full = {
+                let mut seen = shared.seen();
+                let full = seen.len() >= MOST_RECORDED;
+                if !full {
+                    seen.push(Seen { at: message.began, txn, lane });
+                }
+                full
+            };
+            shared.overflowed.fetch_add(usize::from(full), Ordering::Relaxed);
+            if !shared.service.is_zero() {
+                tokio::time::sleep(shared.service).await;
+            }
+            body
+        };
+        if conn.write(&answer(200, "OK", "", &body)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -1,6 +1,7 @@
 //! The little HTTP/1.1 that the stand-ins speak: a message read whole, with the time of its first byte, and
 //! answers written in one piece. Bodies go by `Content-Length` only, as `PROTOCOL` allows.
 
+use std::io::{BufRead, Read};
 use std::time::Instant;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -61,6 +62,50 @@
     }
 }
 
+/// A head without its empty line: its first line, its headers and the length of the body that follows.
+type Head = (String, Vec<(String, String)>, usize);
+
+fn parse_head(head: &[u8]) -> Result<Head, ReadError> {
+    let head = std::str::from_utf8(head).map_err(|_| ReadError::Malformed)?;
+    let mut lines = head.split("\r\n");
+    let first = lines.next().unwrap_or("").to_string();
+    let header = |line: &str| {
+        let (name, value) = line.split_once(':')?;
+        Some((name.trim().to_ascii_lowercase(), value.trim().to_string()))
+    };
+    let headers: Option<Vec<_>> = lines.map(header).collect();
+    let headers = headers.ok_or(ReadError::Malformed)?;
+    let length = headers.iter().find(|(n, _)| n == "content-length").map_or(Ok(0), |(_, v)| v.parse());
+    let length: usize = length.map_err(|_| ReadError::Malformed)?;
+    if first.split(' ').count() < 2 || length > MOST_BODY {
+        return Err(ReadError::Malformed);
+    }
+    Ok((first, headers, length))
+}
+
+/// Reads one whole message, for threads that wait. A read time-out of the socket bounds each wait.
+///
+/// # Errors
+/// As [`ReadError`] says.
+pub fn read(stream: &mut impl BufRead) -> Result<Message, ReadError> {
+    if stream.fill_buf().map_err(|_| ReadError::Broken)?.is_empty() {
+        return Err(ReadError::Closed);
+    }
+    let (began, mut head) = (Instant::now(), Vec::new());
+    while !head.ends_with(b"\r\n\r\n") {
+        let left = (MOST_HEAD - head.len()) as u64;
+        match stream.by_ref().take(left).read_until(b'\n', &mut head) {
+            Ok(_) if head.len() >= MOST_HEAD => return Err(ReadError::Malformed),
+            Ok(0) | Err(_) => return Err(ReadError::Broken),
+            Ok(_) => {}
+        }
+    }
+    let (first, headers, length) = parse_head(&head[..head.len() - 4])?;
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).map_err(|_| ReadError::Broken)?;
+    Ok(Message { first, headers, body, began })
+}
+
 /// A connection with what has been read of the next message.
 pub struct Conn<S = TcpStream> {
     stream: S,
@@ -111,20 +156,7 @@
         let Some(end) = end else {
             return if self.buffer.len() > MOST_HEAD { Err(ReadError::Malformed) } else { Ok(None) };
         };
-        let head = std::str::from_utf8(&self.buffer[..end]).map_err(|_| ReadError::Malformed)?;
-        let mut lines = head.split("\r\n");
-        let first = lines.next().unwrap_or("").to_string();
-        let header = |line: &str| {
-            let (name, value) = line.split_once(':')?;
-            Some((name.trim().to_ascii_lowercase(), value.trim().to_string()))
-        };
-        let headers: Option<Vec<_>> = lines.map(header).collect();
-        let headers = headers.ok_or(ReadError::Malformed)?;
-        let length = headers.iter().find(|(n, _)| n == "content-length").map_or(Ok(0), |(_, v)| v.parse());
-        let length: usize = length.map_err(|_| ReadError::Malformed)?;
-        if first.split(' ').count() < 2 || length > MOST_BODY {
-            return Err(ReadError::Malformed);
-        }
+        let (first, headers, length) = parse_head(&self.buffer[..end])?;
         let whole = end + 4 + length;
         if self.buffer.len() < whole {
             return Ok(None);
@@ -172,5 +204,12 @@
         assert_eq!(conn.read().await.unwrap_err(), ReadError::Malformed);
         let mut conn = Conn::new(tokio::io::duplex(16).0);
         assert_eq!(conn.read().await.unwrap_err(), ReadError::Closed);
+        // The same bytes, for a thread that waits.
+        let mut reader = two.as_slice();
+        let one = read(&mut reader).expect("one");
+        assert_eq!((one.status(), one.header("x-a"), one.body.as_slice()), (200, Some("1"), &b"one"[..]));
+        assert_eq!(read(&mut reader).expect("another").status(), 503);
+        assert_eq!(read(&mut reader).unwrap_err(), ReadError::Closed);
+        assert_eq!(read(&mut &b"nonsense\r\n\r\n"[..]).unwrap_err(), ReadError::Malformed);
     }
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod cluster;
 pub mod compare;
+pub mod fake;
 pub mod groups;
 pub mod http;
 pub mod links;
--- /dev/null
+++ b/lab/tests/hard.rs
@@ -0,0 +1,107 @@
+//! The lab's own hard cases, on its program: interrupted, short of descriptors, with a program that does not
+//! start, twice at once. The proxies are the workspace's release or debug build beside it.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// The lab is too late for its figures to be trusted: a loaded machine, which no case here is about.
+const LATE: i32 = 3;
+
+fn fleetlab() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_fleetlab"))
+}
+
+/// A file of a small experiment that lasts `seconds`.
+fn experiment(name: &str, seconds: f64) -> PathBuf {
+    let program = fleetlab().with_file_name("dewpier");
+    assert!(program.exists(), "{} is missing: build the whole workspace first", program.display());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+    let text = format!(
+        "name = \"{name}\"\nseconds = {seconds}\n[proxies]\ncount = 2\n[load]\nrate = 40\n[[classes]]\n\
+         name = \"status-check\"\nshare = 1\nwork_ms = [2, 4]\neffect = \"free\"\non_time = 1\nhard_limit = 2\n\
+         [[backends]]\ncount = 3\n"
+    );
+    std::fs::write(&path, text).expect("the experiment is written");
+    path
+}
+
+fn start(file: &Path, out: &Path) -> Child {
+    let mut command = Command::new(fleetlab());
+    command.args(["run", &file.display().to_string(), "--seed", "5", "--out", &out.display().to_string()]);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("fleetlab starts")
+}
+
+fn report(out: &Path) -> Value {
+    let text = std::fs::read_to_string(out.join("report.json")).expect("a report");
+    serde_json::from_str(&text).expect("a report in JSON")
+}
+
+/// Processes whose command line holds `word`.
+fn running(word: &str) -> usize {
+    let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let line = |entry: &std::fs::DirEntry| std::fs::read(entry.path().join("cmdline")).unwrap_or_default();
+    all.filter(|entry| String::from_utf8_lossy(&line(entry)).contains(word)).count()
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn an_interrupted_run_leaves_no_process_and_writes_a_report_marked_partial() {
+    let (file, out) =
+        (experiment("interrupted", 60.0), Path::new(env!("CARGO_TARGET_TMPDIR")).join("interrupted"));
+    let child = start(&file, &out);
+    let (pid, began) = (child.id(), Instant::now());
+    let mark = format!("fleetlab-{pid}-");
+    // The proxies' environment names their configuration; the list node's command line does.
+    while running(&mark) == 0 {
+        assert!(began.elapsed() < Duration::from_secs(10), "its processes start");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    kill(Pid::from_raw(pid as i32), Signal::SIGINT).expect("interrupted");
+    let output = child.wait_with_output().expect("it ends");
+    assert_eq!(output.status.code(), Some(130), "{}", said(&output));
+    assert_eq!(running(&mark), 0, "no process is left");
+    let report = report(&out);
+    assert_eq!(report["partial"], true);
+    assert!(report["requests"]["served"].as_u64() > Some(0), "{report}");
+    assert!(out.join("requests.svg").exists() && out.join("load.svg").exists());
+}
+
+#[test]
+fn too_few_descriptors_and_a_program_that_does_not_start_are_told_before_the_load() {
+    let file = experiment("short", 5.0).display().to_string();
+    let lab = fleetlab().display();
+    let short = Command::new("sh")
+        .args(["-c", &format!("ulimit -n 200; exec {lab} run {file}")])
+        .output()
+        .expect("sh runs");
+    assert_eq!(short.status.code(), Some(2), "{}", said(&short));
+    assert!(said(&short).contains("file descriptors are needed and 200 may be had"), "{}", said(&short));
+    let program = Command::new(fleetlab()).args(["run", &file, "--proxy-binary", "/bin/false"]).output();
+    let program = program.expect("fleetlab runs");
+    assert_eq!(program.status.code(), Some(2), "{}", said(&program));
+    assert!(said(&program).contains("did not start"), "{}", said(&program));
+}
+
+#[test]
+fn two_runs_at_once_keep_apart_and_offer_the_same_requests() {
+    let (file, dir) = (experiment("twice", 4.0), Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let outs = [dir.join("twice-a"), dir.join("twice-b")];
+    let children = outs.each_ref().map(|out| start(&file, out));
+    for child in children {
+        let output = child.wait_with_output().expect("it ends");
+        let code = output.status.code();
+        assert!(code == Some(0) || code == Some(LATE), "{code:?}: {}", said(&output));
+    }
+    let [a, b] = outs.each_ref().map(|out| report(out));
+    assert_eq!(a["requests"]["offered"], b["requests"]["offered"], "the same seed offers the same");
+    assert_eq!(a["requests"]["lost"], 0);
+    assert_eq!(b["violations"]["count"], 0, "{}", b["violations"]);
+}
