Never send an attempt whose connection comes up after its request has its answer

Where connections are dear the module cancels no attempts of an ended request, so that their connections last.

Change: the request's payload says that it is over as soon as the engine answers it or its client leaves; an attempt that gets its connection only then keeps it for the next request and ends as never sent. The module is told as before, so nothing else changes. With it, what the proxy's parts share moves into `proxy/types.rs` below them: `backend`, `config`, `discovery` and `engine` no longer import each other in a circle.

Measured: the new test sends nothing and reuses the connection.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,6 +1,6 @@
 //! Connections to backends, attempts on them, and the exact outcome of each.
 
-use super::engine::{Clock, Payload};
+use super::types::{Clock, Payload};
 use crate::{Outcome, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -246,6 +246,15 @@
         }
     }
 
+    /// Keeps a connection for a later request, if it is good and none was to be closed since `era`.
+    fn keep(&self, peer: Peer, permit: Permit, era: u64) {
+        if let Ok(peer) = peer.checked()
+            && self.era.get() == era
+        {
+            self.idle.borrow_mut().push(Idle::new(peer, permit));
+        }
+    }
+
     fn may_send(&self, clock: &Clock) -> bool {
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
@@ -306,21 +315,26 @@
     until: Time,
     written: Rc<Cell<bool>>,
 ) -> Done {
-    exchange(&endpoint, &clock, &written, payload.once, || payload.request(until - clock.now())).await
+    exchange(&endpoint, &clock, &written, &payload, || payload.request(until - clock.now())).await
 }
 
 async fn exchange(
     endpoint: &Endpoint,
     clock: &Clock,
     written: &Cell<bool>,
-    once: bool,
+    payload: &Payload,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done {
     let era = endpoint.era.get();
     let (mut peer, permit, answer) = loop {
-        let Some((mut peer, permit)) = endpoint.peer(once).await else {
+        let Some((mut peer, permit)) = endpoint.peer(payload.once).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
+        // The request may have had its answer while the connection came up, which then serves another.
+        if payload.over.get() {
+            endpoint.keep(peer, permit, era);
+            return Done::without_answer(Outcome::NeverSent);
+        }
         // The news of a drain may have come while the connection was made.
         if !endpoint.may_send(clock) {
             return Done::without_answer(Outcome::NoConnection);
@@ -338,11 +352,7 @@
         return Done::without_answer(Outcome::Reset);
     };
     let body = body.to_bytes();
-    if let Ok(peer) = peer.checked()
-        && endpoint.era.get() == era
-    {
-        endpoint.idle.borrow_mut().push(Idle::new(peer, permit));
-    }
+    endpoint.keep(peer, permit, era);
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Served,
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,7 +1,7 @@
 //! What a proxy is told at its start: environment and JSON, turned into the module's settings.
 
-use super::discovery;
 use super::lists::RawList;
+use super::types::{WireSettings, zone_index};
 use crate::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -66,25 +66,6 @@
     pub wire: WireSettings,
 }
 
-/// The part of the settings that sockets need and decisions don't.
-#[derive(Debug, Default)]
-pub struct WireSettings {
-    /// Class names, in the order of the settings.
-    pub classes: Vec<String>,
-    /// Tenant names, in the order of the settings.
-    pub tenants: Vec<String>,
-    /// Zone names; an entry's zone is the place of its name here.
-    pub zones: Vec<String>,
-    /// A connection not up by then never comes up.
-    pub connect_timeout: Duration,
-    /// Backends close idle connections after this.
-    pub idle_close: Duration,
-    /// Nothing new to a backend this long after the news that it drains or is gone.
-    pub drain_grace: Duration,
-    /// Requests that may be open at once.
-    pub max_open: usize,
-}
-
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
@@ -277,7 +258,7 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
         let mut zones = raw.zones;
-        let zone = discovery::zone_index(&mut zones, &raw.zone);
+        let zone = zone_index(&mut zones, &raw.zone);
         let wire = WireSettings {
             classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -1,10 +1,10 @@
 //! Discovery: the watch and fetch calls, and lists in the module's terms.
 
 use super::backend::{self, Peer};
-use super::config::WireSettings;
-use super::engine::{Clock, Engine};
+use super::engine::Engine;
 use super::listcache::{self, ListCache};
 use super::lists::{Lifecycle, RawEntry, RawList};
+use super::types::{Clock, ListCall, Listed, News, WireSettings, zone_index};
 use crate::{BackendId, Entry, Settings, Status, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -34,28 +34,6 @@
 /// memory, of the 32 MB that a proxy may have.
 const MOST_BYTES: usize = 1 << 20;
 
-/// News of the list, as the engine hands it to the module.
-#[derive(Debug)]
-pub enum News {
-    /// Entries that changed.
-    Changes(Vec<Listed>),
-    /// All entries.
-    Full(Vec<Listed>),
-    /// All entries, as last had before the start.
-    Remembered(Vec<Listed>),
-    /// A call failed.
-    Refused,
-}
-
-/// A backend of a list, and where it listens.
-#[derive(Debug)]
-pub struct Listed {
-    /// The module's part.
-    pub entry: Entry,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 #[derive(Debug, Error)]
 enum CallError {
     #[error("no answer in time")]
@@ -76,15 +54,6 @@
     Stale(u64),
 }
 
-/// The number of a zone, added if it is new.
-pub fn zone_index(zones: &mut Vec<String>, name: &str) -> u32 {
-    let known = zones.iter().position(|z| z == name);
-    known.unwrap_or_else(|| {
-        zones.push(name.to_string());
-        zones.len() - 1
-    }) as u32
-}
-
 /// Names of discovery in the module's terms.
 #[derive(Debug)]
 struct Translation {
@@ -188,7 +157,15 @@
         if let Some(cache) = discovery.cache.clone() {
             tokio::task::spawn_local(listcache::keep(cache));
         }
-        discovery.engine.set_discovery(&discovery);
+        let asked = Rc::downgrade(&discovery);
+        discovery.engine.set_discovery(move |call| {
+            if let Some(discovery) = asked.upgrade() {
+                match call {
+                    ListCall::Watch(on) => discovery.watch(on),
+                    ListCall::Fetch => discovery.fetch(),
+                }
+            }
+        });
         let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
         discovery.engine.news(News::Remembered(listed));
         if !settings.must_watch {
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -3,24 +3,18 @@
 //! request gets exactly one final answer.
 
 use super::backend::{self, Budget, Done, Endpoint, Served};
-use super::config::WireSettings;
-use super::discovery::{Discovery, Listed, News};
+use super::types::{Clock, ListCall, Listed, News, Payload, WireSettings};
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Request, RequestId, Settings,
     Status, Time,
 };
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// Time kept for the way of an answer to the client, in seconds: the module's last word comes
 /// this long before the client gives up, and the engine's own, if there was none, at half of it.
@@ -32,63 +26,6 @@
 /// How often idle connections are looked through: how long they last is known as exactly.
 const SWEEP: Duration = Duration::from_millis(100);
 
-/// The module's clock: seconds since the proxy started.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Time,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        Self { start: Instant::now(), unix }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Time {
-        self.start.elapsed().as_secs_f64()
-    }
-
-    /// A Unix time, in seconds. The same for the same input as long as the proxy runs.
-    pub fn of_unix(&self, unix: Time) -> Time {
-        unix - self.unix
-    }
-
-    fn at(&self, time: Time) -> Instant {
-        self.start + Duration::try_from_secs_f64(time).unwrap_or_default()
-    }
-}
-
-/// A request as it goes on to backends.
-#[derive(Debug)]
-pub struct Payload {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// It must not run twice.
-    pub once: bool,
-}
-
-impl Payload {
-    /// The request for an attempt that is given up after `wait` seconds.
-    pub fn request(&self, wait: Time) -> hyper::Request<Full<Bytes>> {
-        let mut request = hyper::Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
-        request.headers_mut().insert("x-remaining-ms", wait);
-        request
-    }
-}
-
 /// The final answer to a request.
 pub enum Answer {
     /// What a backend answered.
@@ -155,6 +92,9 @@
     endpoints: HashMap<BackendId, Rc<Endpoint>>,
 }
 
+/// Makes a call for the list.
+type AskForList = Box<dyn Fn(ListCall)>;
+
 /// Drives the module.
 pub struct Engine {
     this: Weak<Engine>,
@@ -164,7 +104,7 @@
     /// How late timers have fired of late: as long may a request have waited to be read.
     lag: Cell<Time>,
     listed: Cell<bool>,
-    discovery: RefCell<Weak<Discovery>>,
+    discovery: RefCell<Option<AskForList>>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     idle_close: Duration,
@@ -212,8 +152,14 @@
     }
 
     /// Whom to ask for the list.
-    pub fn set_discovery(&self, discovery: &Rc<Discovery>) {
-        *self.discovery.borrow_mut() = Rc::downgrade(discovery);
+    pub fn set_discovery(&self, ask: impl Fn(ListCall) + 'static) {
+        *self.discovery.borrow_mut() = Some(Box::new(ask));
+    }
+
+    fn ask_for_list(&self, call: ListCall) {
+        if let Some(ask) = self.discovery.borrow().as_ref() {
+            ask(call);
+        }
     }
 
     /// There is a list to go by.
@@ -254,7 +200,7 @@
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.open.remove(&id).is_some() {
+        if close(&mut state, id).is_some() {
             state.told.push_back(Told::Event(Event::ClientLeft(id)));
             self.decide(state);
         }
@@ -303,7 +249,7 @@
         };
         running.task.abort();
         if let Some(served) = done.served
-            && let Some(open) = state.open.remove(&id)
+            && let Some(open) = close(state, id)
         {
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
@@ -364,8 +310,8 @@
             Action::Release(backend) => {
                 state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
             }
-            Action::Watch(on) => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.watch(on)),
-            Action::Fetch => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch()),
+            Action::Watch(on) => self.ask_for_list(ListCall::Watch(on)),
+            Action::Fetch => self.ask_for_list(ListCall::Fetch),
             Action::Log(text) => eprintln!("{text}"),
         }
     }
@@ -468,7 +414,14 @@
 
 /// Gives a request its final answer, if it has had none.
 fn answer(state: &mut State, id: RequestId, answer: Answer) {
-    if let Some(open) = state.open.remove(&id) {
+    if let Some(open) = close(state, id) {
         let _ = open.answer.send(answer); // if it has left, its guard tells
     }
 }
+
+/// Takes a request off the open ones: attempts of it that still wait for a connection are not sent any more.
+fn close(state: &mut State, id: RequestId) -> Option<Open> {
+    let open = state.open.remove(&id)?;
+    open.payload.over.set(true);
+    Some(open)
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,3 +7,4 @@
 pub mod listcache;
 pub mod lists;
 pub mod server;
+pub mod types;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,8 +1,8 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
 use super::backend::MOST_BODY;
-use super::config::WireSettings;
-use super::engine::{Answer, Engine, Payload};
+use super::engine::{Answer, Engine};
+use super::types::{Payload, WireSettings};
 use crate::{Effect, Request, RequestId, Settings, Time};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -272,7 +272,8 @@
         let id = request.id;
         let headers = onward(head.headers);
         let once = self.settings.classes[request.class].effect == Effect::Unsafe;
-        let payload = Payload { method: head.method, uri: head.uri, headers, body, once };
+        let over = Cell::new(false);
+        let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over };
         let Some(answer) = self.engine.request(request, payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,10 +1,9 @@
 //! Peers of the listener that send nothing, or no whole request, and backends that say nothing, on
 //! loopback sockets and in paused time: waits take none, and how long they would have taken is exact.
 
-use gannetproxy::proxy::config::WireSettings;
-use gannetproxy::proxy::discovery::{Listed, News};
 use gannetproxy::proxy::engine::Engine;
 use gannetproxy::proxy::server::{self, Server};
+use gannetproxy::proxy::types::{Listed, News, WireSettings};
 use gannetproxy::{Class, Effect, Entry, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -3,7 +3,7 @@
 
 use gannetproxy::Outcome;
 use gannetproxy::proxy::backend::{Budget, Endpoint, attempt};
-use gannetproxy::proxy::engine::{Clock, Payload};
+use gannetproxy::proxy::types::{Clock, Payload};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -488,6 +488,7 @@
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "body".into(),
         once,
+        over: Default::default(),
     }
 }
 
@@ -554,6 +555,25 @@
     assert_eq!(attempt(None), Outcome::Served);
 }
 
+/// An attempt whose connection comes up only once another copy has been answered must not go out any more: a
+/// backend would get a request after its final answer. The connection is kept for the next one.
+#[test]
+fn an_attempt_still_without_a_connection_when_its_request_ends_is_never_sent() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let backend = Played::good("yes");
+    let endpoint = std::rc::Rc::new(Endpoint::new(backend.address, Budget::new(4), LONG, LONG));
+    let attempt = |over: bool| {
+        let payload = payload(false);
+        payload.over.set(over);
+        let made = attempt(endpoint.clone(), payload.into(), Clock::start(), 20.0, Default::default());
+        runtime.block_on(made).outcome
+    };
+    assert_eq!(attempt(true), Outcome::NeverSent);
+    assert_eq!(backend.count(), 0);
+    assert_eq!(attempt(false), Outcome::Served);
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1, "the connection was kept");
+}
+
 #[test]
 fn discovery_that_talks_nonsense_is_asked_again_and_the_last_list_kept() {
     let (old, new) = (Played::good("old"), Played::good("new"));
