--- a/src/interface.rs
+++ b/src/interface.rs
@@ -139,6 +139,59 @@
     }
 }
 
+/// The rules of a class that may change while a balancer runs, as [`Class`] names them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClassRules {
+    /// See [`Class::aim`].
+    pub aim: Time,
+    /// See [`Class::deadline`].
+    pub deadline: Time,
+    /// See [`Class::late_worth`].
+    pub late_worth: f64,
+    /// See [`Class::worth`].
+    pub worth: f64,
+}
+
+/// In which order the entry sheds under pressure.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Shed {
+    /// The least worth for its work first.
+    #[default]
+    ByWorth,
+    /// All alike: ranks nothing.
+    Blind,
+    /// It sheds nothing.
+    Never,
+}
+
+/// Rules that may change while a balancer runs; [`Settings`] has the ones that it starts with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rules {
+    /// In the order of [`Settings::classes`].
+    pub classes: Vec<ClassRules>,
+    /// In the order of [`Settings::quotas`].
+    pub quotas: Vec<f64>,
+    /// The part of each quota that is shared out over all balancers that there may be, known to be alive or not.
+    pub floors: Vec<f64>,
+    /// See [`Settings::over_share_worth`].
+    pub over_share_worth: f64,
+    /// See [`Settings::max_attempts`].
+    pub max_attempts: usize,
+    /// See [`Settings::max_retry_after`].
+    pub max_retry_after: Time,
+    /// In which order the entry sheds.
+    pub shed: Shed,
+}
+
+/// A balancer's place among those that are alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its number, below `instances`.
+    pub me: usize,
+    /// How many there are.
+    pub instances: usize,
+}
+
 /// State of a listed backend.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Status {
@@ -277,6 +330,9 @@
     Timer(u64),
     /// News of the list.
     List(ListUpdate<'a>),
+    /// Other rules hold from now on, and another place; no place: it is not known who else is alive. Requests in
+    /// hand go on as they were begun.
+    Rules(&'a Rules, Option<Place>),
 }
 
 /// What a balancer wants done.
--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -8,7 +8,7 @@
 //! Run as `dewpier hold --config FILE.toml`; never started by the proxy's `run`. On SIGTERM it stops
 //! acting, releases its grant (best effort: a release that is lost ends with the TTL) and exits 0.
 
-use super::Contender;
+use super::{Clock, Contender};
 use crate::registry::{ConfigError, read_toml};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -22,7 +22,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::signal::unix::{SignalKind, signal};
@@ -120,24 +120,6 @@
     }
 }
 
-/// The holder's clock: real time run at `rate`, so that a fault test can make it fast or slow.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: Instant,
-    rate: f64,
-}
-
-impl Clock {
-    fn now(&self) -> Instant {
-        self.start + self.start.elapsed().mul_f64(self.rate)
-    }
-
-    /// Waits for `local` to pass on this clock.
-    async fn sleep(&self, local: Duration) {
-        tokio::time::sleep(local.div_f64(self.rate)).await;
-    }
-}
-
 /// Why a call got no answer to take in.
 #[derive(Debug, Error)]
 enum CallError {
@@ -327,7 +309,7 @@
 pub async fn hold(config: HolderConfig) -> std::io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     let seed = config.holder.bytes().fold(0xa11c_e5ed_u64, |h, b| h.rotate_left(5) ^ u64::from(b));
-    let clock = Clock { start: Instant::now(), rate: config.clock_rate };
+    let clock = Clock::start(config.clock_rate);
     let holder = Rc::new(Holder {
         config,
         clock,
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -20,8 +20,11 @@
 //! **Handover.** Another process may be granted the duty once the service's TTL has run out: at most `ttl`
 //! after the holder's last renewal reached the service, plus the contender's retry interval.
 
+mod clock;
 pub mod holder;
 
+pub use clock::Clock;
+
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -30,6 +33,11 @@
 /// The time allowed from a holder's check to its act.
 pub const MARGIN: Duration = Duration::from_millis(50);
 
+/// How long after it was sent a grant or renewal may be relied on, by the holder's clock.
+pub fn held(ttl: Duration) -> Duration {
+    ttl.mul_f64(1.0 - RATE).saturating_sub(MARGIN)
+}
+
 /// A holder's grant, as it knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lease {
@@ -61,8 +69,7 @@
 
     /// When the holder must have stopped acting, by its own clock.
     pub fn valid_until(&self) -> Instant {
-        let held = self.ttl.mul_f64(1.0 - RATE).saturating_sub(MARGIN);
-        self.sent + held
+        self.sent + held(self.ttl)
     }
 
     /// Whether the holder may still act at `now` (its clock).
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agreement;
 mod interface;
 pub mod lease;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -268,6 +268,9 @@
     arrivals: Vec<[Rate; 2]>,
     /// This balancer's part of each tenant's quota, and what is left of it.
     shares: Vec<(f64, Bucket)>,
+    /// Most balancers that there may be.
+    most: usize,
+    shed: Shed,
     memory: Time,
     /// Members that the calls in flight have called for so far.
     grown: usize,
@@ -308,6 +311,8 @@
             works: vec![Normal::default(); settings.classes.len()],
             arrivals: vec![[Rate { at: now, ..Rate::default() }; 2]; settings.classes.len()],
             shares: settings.quotas.iter().map(|q| q / settings.instances.max(1) as f64).map(share).collect(),
+            most: settings.instances,
+            shed: Shed::default(),
             memory: RATE_MEMORY * T1_REACH * longest,
             grown: 0,
             watch_asked: false,
@@ -338,6 +343,33 @@
             Event::Timer(LIST_TOKEN) => actions.push(Action::Watch(true)),
             Event::Timer(token) => self.timer(token, actions),
             Event::List(update) => self.list(update, actions),
+            Event::Rules(rules, place) => self.go_by(rules, place),
+        }
+    }
+
+    /// Other rules, and another place. Without one a tenant's part is its floor's, and the subset stays.
+    fn go_by(&mut self, rules: &Rules, place: Option<Place>) {
+        for (class, rules) in self.settings.classes.iter_mut().zip(&rules.classes) {
+            (class.aim, class.deadline) = (rules.aim, rules.deadline);
+            (class.worth, class.late_worth) = (rules.worth, rules.late_worth);
+        }
+        let longest = self.settings.classes.iter().map(|c| c.aim).fold(self.settings.quantum, f64::max);
+        self.memory = RATE_MEMORY * T1_REACH * longest;
+        self.settings.over_share_worth = rules.over_share_worth;
+        self.settings.max_attempts = rules.max_attempts;
+        self.settings.max_retry_after = rules.max_retry_after;
+        self.shed = rules.shed;
+        let now = place.map_or(0, |place| place.instances);
+        let most = self.most.max(now).max(1) as f64;
+        for ((rate, _), (quota, floor)) in self.shares.iter_mut().zip(rules.quotas.iter().zip(&rules.floors))
+        {
+            let above = place.map_or(0.0, |p| (quota - floor).max(0.0) / p.instances.max(1) as f64);
+            *rate = floor / most + above;
+        }
+        let Some(Place { me, instances }) = place else { return };
+        if (self.settings.me, self.settings.instances) != (me, instances) {
+            (self.settings.me, self.settings.instances) = (me, instances);
+            self.relist();
         }
     }
 
@@ -446,10 +478,14 @@
     /// Sheds at the entry, where no work was done yet: under pressure, the least worth for its work.
     fn admits(&mut self, class: usize, over: bool) -> bool {
         let pressure = self.pressure();
-        if self.settings.tier > 0 || pressure <= 0.0 {
+        if self.settings.tier > 0 || pressure <= 0.0 || self.shed == Shed::Never {
             return true;
         }
+        let blind = self.shed == Shed::Blind;
         let value = |class: usize, over: bool| {
+            if blind {
+                return 1.0;
+            }
             let share = if over { self.settings.over_share_worth } else { 1.0 };
             let work = self.normal[class].mean.max(self.settings.quantum);
             share * self.settings.classes[class].worth / work
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use gannetproxy::agreement::commands;
 use gannetproxy::lease::holder::{self, HolderConfig};
+use gannetproxy::proxy::agreed;
 use gannetproxy::proxy::config::Config;
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
@@ -27,7 +29,11 @@
     ((shared - backends) * server::OVERFLOW / (server::OVERFLOW + 1), backends)
 }
 
-async fn run(config: Config) -> std::io::Result<()> {
+async fn run(mut config: Config) -> std::io::Result<()> {
+    let agreement = config.agreement.take();
+    if agreement.is_some() {
+        init_logs();
+    }
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listener = server::bind(config.listen)?;
@@ -42,22 +48,38 @@
             (Some(cache), known)
         }
     };
+    let nodes = config.discovery.clone();
     let discovery =
         Discovery::start(config.discovery, known, cache, &config.wire, &config.settings, engine.clone());
+    let server = Server::new(engine.clone(), config.settings, config.wire.clone(), clients);
+    let following = agreement.map(|agreement| {
+        let parts = (engine, server.clone(), discovery.clone());
+        agreed::start(agreement, nodes, config.seed, config.wire, parts)
+    });
+    let moving = following.clone();
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
             match Config::moved_discovery() {
                 Ok(addresses) => {
                     let named: Vec<String> = addresses.iter().map(ToString::to_string).collect();
                     eprintln!("dewpier: discovery is at {}", named.join(","));
+                    if let Some(following) = &moving {
+                        following.move_to(addresses.clone());
+                    }
                     discovery.move_to(addresses);
                 }
                 Err(error) => eprintln!("dewpier: not reloaded: {error}"),
             }
         }
     });
-    let server = Server::new(engine, config.settings, config.wire, clients);
-    server.run(listener, async move { stop.recv().await.unwrap_or_default() }).await;
+    let stopped = async move {
+        stop.recv().await.unwrap_or_default();
+        if let Some(following) = following {
+            // What it has taken it serves detached, and its slot is free for another.
+            tokio::task::spawn_local(async move { following.leave().await });
+        }
+    };
+    server.run(listener, stopped).await;
     Ok(())
 }
 
@@ -81,6 +103,12 @@
         #[arg(long)]
         config: String,
     },
+    /// Reads and publishes the settings that all proxies follow.
+    #[command(subcommand, after_long_help = commands::EXIT_CODES)]
+    Settings(commands::Settings),
+    /// Shows how the fleet stands.
+    #[command(subcommand, after_long_help = commands::EXIT_CODES)]
+    Fleet(commands::Fleet),
     /// Holds one duty by a lease from the list service, and does it while the lease is valid.
     Hold {
         /// Its TOML configuration file.
@@ -101,6 +129,16 @@
     }
 }
 
+/// Runs a command to its exit code.
+fn coded(command: impl Future<Output = u8>) -> ExitCode {
+    let mut code = 3;
+    let ran = on_this_thread(async {
+        code = command.await;
+        Ok(())
+    });
+    if ran == ExitCode::SUCCESS { ExitCode::from(code) } else { ran }
+}
+
 /// The value, or `None` once its error has been told in one line.
 fn told<T, E: std::fmt::Display>(read: Result<T, E>) -> Option<T> {
     read.map_err(|error| eprintln!("dewpier: {error}")).ok()
@@ -130,6 +168,8 @@
             init_logs();
             return on_this_thread(holder::hold(config));
         }
+        Some(Service::Settings(command)) => return coded(commands::settings(command)),
+        Some(Service::Fleet(command)) => return coded(commands::fleet(command)),
         None => {}
     }
     if std::env::var_os("RELAY_CONFIG").is_none() {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -2,6 +2,8 @@
 
 use super::lists::RawList;
 use super::types::{WireSettings, zone_index};
+use crate::agreement::document::{Document, Floor, first_document};
+use crate::agreement::state::TTL_MS;
 use crate::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -60,14 +62,53 @@
     pub known: RawList,
     /// Where the list is kept on disk for a start without a list service (`listcache`); none: nowhere.
     pub list_cache: Option<PathBuf>,
+    /// How settings and membership are agreed on with the other proxies (`crate::agreement`); none: not at all.
+    pub agreement: Option<AgreementConfig>,
     /// What the module is told.
     pub settings: Settings,
     /// What only the proxy needs of the settings.
     pub wire: WireSettings,
 }
 
+/// A proxy's part in the agreement.
+#[derive(Debug)]
+pub struct AgreementConfig {
+    /// Its name, for people: `RELAY_NAME`, or `name` in the file.
+    pub name: String,
+    /// The TTL of its session.
+    pub ttl: Duration,
+    /// How fast its clock runs, for fault tests.
+    pub clock_rate: f64,
+    /// What its own file says, as a document: in force until a version is published.
+    pub document: Document,
+}
+
+/// The key `agreement` of the file.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawAgreement {
+    #[serde(default = "default_ttl_ms")]
+    ttl_ms: u64,
+    #[serde(default = "default_rate")]
+    clock_rate: f64,
+    #[serde(default)]
+    floor: Option<Floor>,
+}
+
+fn default_ttl_ms() -> u64 {
+    3_000
+}
+
+fn default_rate() -> f64 {
+    1.0
+}
+
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    agreement: Option<RawAgreement>,
     listen: Option<String>,
     discovery: Option<String>,
     seed: String,
@@ -237,14 +278,17 @@
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let file: File = read()?;
+        let mut file: File = read()?;
         let text = |name: &'static str, in_file: &Option<String>| {
             var(name).or_else(|unset| in_file.clone().ok_or(unset))
         };
         let listen = text("RELAY_LISTEN", &file.listen)?;
         let listen = listen.parse::<SocketAddr>().map_err(|_| bad("RELAY_LISTEN", "address:port", listen))?;
         let discovery = addresses("RELAY_DISCOVERY", &text("RELAY_DISCOVERY", &file.discovery)?)?;
-        Self::from_file(file, listen, discovery)
+        let agreement = file.agreement.take().map(|raw| agreement(raw, file.name.take())).transpose()?;
+        let mut config = Self::from_file(file, listen, discovery)?;
+        config.agreement = agreement;
+        Ok(config)
     }
 
     /// Where the file now says that discovery is: it may be replaced while the proxy runs, and the
@@ -300,12 +344,35 @@
             sockets,
             known: file.known,
             list_cache: file.list_cache,
+            agreement: None,
             settings,
             wire,
         })
     }
 }
 
+/// A proxy's part in the agreement, its document made from the same file.
+fn agreement(raw: RawAgreement, name: Option<String>) -> Result<AgreementConfig, ConfigError> {
+    /// What the document is made from.
+    #[derive(Deserialize)]
+    struct Whole {
+        settings: serde_json::Value,
+    }
+    let RawAgreement { ttl_ms, clock_rate, floor } = raw;
+    let [least, most] = TTL_MS;
+    if !(least..=most).contains(&ttl_ms) {
+        return Err(bad("agreement.ttl-ms", "from 500 to 60000", ttl_ms));
+    }
+    if !(0.5..=2.0).contains(&clock_rate) {
+        return Err(bad("agreement.clock-rate", "from 0.5 to 2", clock_rate));
+    }
+    let Whole { settings } = read()?;
+    let document = first_document(&settings, floor);
+    let document = document.map_err(|e| bad(&e.key, "settings that a document can hold", e.why))?;
+    let name = var("RELAY_NAME").ok().or(name).unwrap_or_else(|| "proxy".into());
+    Ok(AgreementConfig { name, ttl: Duration::from_millis(ttl_ms), clock_rate, document })
+}
+
 fn class(raw: RawClass) -> Result<Class, ConfigError> {
     let positive = |name: &str, value: Time| match value.is_finite() && value >= 0.0 {
         true => Ok(value),
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -98,6 +98,9 @@
     }
 }
 
+/// Told of the revision of the list in force.
+type ToldOfList = Box<dyn Fn(u64)>;
+
 /// Keeps the engine's list fresh.
 ///
 /// With one address, as the bench gives it, that agent is asked and asked again. With several, the nodes of
@@ -113,6 +116,8 @@
     /// The address is a new one.
     moved: Notify,
     engine: Rc<Engine>,
+    /// Told of the revision of the list that is in force.
+    on_list: RefCell<Option<ToldOfList>>,
     names: RefCell<Translation>,
     generation: Cell<u64>,
     watching: Cell<bool>,
@@ -146,6 +151,7 @@
             current: Cell::new(current),
             jitter: RefCell::new(jitter),
             moved: Notify::new(),
+            on_list: RefCell::default(),
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
             watching: Cell::new(false),
@@ -183,6 +189,20 @@
         }
     }
 
+    /// Has `told` told of the revision of the list in force, now and with every answer.
+    pub fn on_list(&self, told: impl Fn(u64) + 'static) {
+        told(self.generation.get());
+        *self.on_list.borrow_mut() = Some(Box::new(told));
+    }
+
+    /// The node asked now is behind: the next one is asked from now on.
+    pub fn ask_elsewhere(&self) {
+        if self.several() {
+            self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
+            self.moved.notify_one();
+        }
+    }
+
     /// The address asked now.
     fn address(&self) -> SocketAddr {
         let addresses = self.addresses.borrow();
@@ -280,6 +300,9 @@
                 let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
                 let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
                 self.engine.news(news);
+                if let Some(told) = self.on_list.borrow().as_ref() {
+                    told(self.generation.get());
+                }
             }
             Err(error) => {
                 eprintln!("discovery: {error}");
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -3,11 +3,12 @@
 //! request gets exactly one final answer.
 
 use super::backend::{self, Budget, Done, Endpoint, Served};
-use super::types::{Clock, ListCall, Listed, News, Payload, WireSettings};
+use super::types::{Clock, ListCall, Listed, News, Payload, Stamp, WireSettings};
 use crate::{
-    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Request, RequestId, Settings,
-    Status, Time,
+    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Place, Request, RequestId, Rules,
+    Settings, Status, Time,
 };
+use hyper::header::HeaderMap;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -66,6 +67,7 @@
 enum Told {
     Event(Event<'static>),
     List(News),
+    Rules(Rules, Option<Place>),
 }
 
 struct Open {
@@ -105,12 +107,16 @@
     lag: Cell<Time>,
     listed: Cell<bool>,
     discovery: RefCell<Option<AskForList>>,
+    /// Asked before every decision, where rules may run out.
+    guard: RefCell<Option<Box<dyn Fn()>>>,
+    /// What goes on every attempt.
+    stamp: RefCell<Option<Stamp>>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     idle_close: Duration,
     drain_grace: Time,
     max_open: usize,
-    max_attempts: usize,
+    max_attempts: Cell<usize>,
 }
 
 impl Engine {
@@ -125,12 +131,14 @@
             lag: Cell::new(0.0),
             listed: Cell::new(false),
             discovery: RefCell::default(),
+            guard: RefCell::default(),
+            stamp: RefCell::default(),
             budget: Budget::new(connections),
             connect_timeout: wire.connect_timeout,
             idle_close: wire.idle_close,
             drain_grace: wire.drain_grace.as_secs_f64(),
             max_open: wire.max_open,
-            max_attempts: settings.max_attempts,
+            max_attempts: Cell::new(settings.max_attempts),
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
                 told: VecDeque::new(),
@@ -162,6 +170,32 @@
         }
     }
 
+    /// Has `guard` run before every decision: rules that have run out must not be decided by.
+    pub fn on_decision(&self, guard: impl Fn() + 'static) {
+        *self.guard.borrow_mut() = Some(Box::new(guard));
+    }
+
+    /// Has `stamp` put headers on every attempt as it is written.
+    pub fn stamp_with(&self, stamp: impl Fn(&mut HeaderMap) + 'static) {
+        *self.stamp.borrow_mut() = Some(Rc::new(stamp));
+    }
+
+    /// Other rules and another place, from now on.
+    pub fn follow(&self, rules: Rules, place: Option<Place>) {
+        self.max_attempts.set(rules.max_attempts);
+        let mut state = self.state.borrow_mut();
+        state.told.push_back(Told::Rules(rules, place));
+        self.decide(state);
+    }
+
+    /// The state, to decide in, once what holds now is known.
+    fn state(&self) -> std::cell::RefMut<'_, State> {
+        if let Some(guard) = self.guard.borrow().as_ref() {
+            guard();
+        }
+        self.state.borrow_mut()
+    }
+
     /// There is a list to go by.
     pub fn listed(&self) -> bool {
         self.listed.get()
@@ -174,9 +208,10 @@
 
     /// Takes in a request that the client will wait for `request.budget` seconds for. The answer
     /// comes to the receiver in that time. None if the id is in use.
-    pub fn request(&self, mut request: Request, payload: Payload) -> Option<oneshot::Receiver<Answer>> {
+    pub fn request(&self, mut request: Request, mut payload: Payload) -> Option<oneshot::Receiver<Answer>> {
         let (answer, receiver) = oneshot::channel();
-        let mut state = self.state.borrow_mut();
+        let mut state = self.state();
+        payload.stamp = self.stamp.borrow().clone();
         if state.open.len() >= self.max_open {
             let _ = answer.send(Answer::Refused(None)); // the receiver is still here
             return Some(receiver);
@@ -199,7 +234,7 @@
 
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
-        let mut state = self.state.borrow_mut();
+        let mut state = self.state();
         if close(&mut state, id).is_some() {
             state.told.push_back(Told::Event(Event::ClientLeft(id)));
             self.decide(state);
@@ -208,7 +243,7 @@
 
     /// News of the list.
     pub fn news(&self, news: News) {
-        let mut state = self.state.borrow_mut();
+        let mut state = self.state();
         let now = self.clock.now();
         let listed: &[Listed] = match &news {
             News::Full(list) | News::Remembered(list) => {
@@ -237,7 +272,7 @@
 
     /// An attempt has ended by itself.
     fn attempt_done(&self, id: RequestId, attempt: usize, done: Done) {
-        let mut state = self.state.borrow_mut();
+        let mut state = self.state();
         self.ended(&mut state, id, attempt, done);
         self.decide(state);
     }
@@ -271,6 +306,9 @@
             let entries = |list: Vec<Listed>| list.into_iter().map(|l| l.entry).collect::<Vec<Entry>>();
             match told {
                 Told::Event(event) => state.balancer.handle(now, event, &mut actions),
+                Told::Rules(rules, place) => {
+                    state.balancer.handle(now, Event::Rules(&rules, place), &mut actions);
+                }
                 Told::List(news) => {
                     let list;
                     let update = match news {
@@ -318,7 +356,7 @@
 
     fn send(&self, state: &mut State, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
         let endpoint = state.endpoints.get(&backend).cloned();
-        let most = self.max_attempts;
+        let most = self.max_attempts.get();
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
         let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
@@ -377,7 +415,7 @@
         let now = self.clock.now();
         let mut late: Time = 0.0;
         loop {
-            let mut state = self.state.borrow_mut();
+            let mut state = self.state();
             let due = state.timers.peek().is_some_and(|Reverse((at, ..))| at.0 <= now);
             let Some(Reverse((at, _, due))) = due.then(|| state.timers.pop()).flatten() else {
                 break;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,5 +1,6 @@
 //! The real proxy: the decision module on sockets.
 
+pub mod agreed;
 pub mod backend;
 pub mod config;
 pub mod discovery;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -3,7 +3,7 @@
 use super::backend::MOST_BODY;
 use super::engine::{Answer, Engine};
 use super::types::{Payload, WireSettings};
-use crate::{Effect, Request, RequestId, Settings, Time};
+use crate::{Effect, Request, RequestId, Rules, Settings, Time};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -57,7 +57,7 @@
 /// Answers clients.
 pub struct Server {
     engine: Rc<Engine>,
-    settings: Settings,
+    settings: RefCell<Settings>,
     wire: WireSettings,
     /// When SIGTERM has come, all that is taken has to be answered by then.
     answer_by: Cell<Option<Instant>>,
@@ -137,7 +137,7 @@
     pub fn new(engine: Rc<Engine>, settings: Settings, wire: WireSettings, connections: usize) -> Rc<Self> {
         Rc::new(Self {
             engine,
-            settings,
+            settings: RefCell::new(settings),
             wire,
             answer_by: Cell::default(),
             closing: watch::Sender::new(false),
@@ -149,12 +149,21 @@
         })
     }
 
+    /// Other rules from now on.
+    pub fn follow(&self, rules: &Rules) {
+        let mut settings = self.settings.borrow_mut();
+        for (class, rules) in settings.classes.iter_mut().zip(&rules.classes) {
+            class.deadline = rules.deadline;
+        }
+        settings.max_retry_after = rules.max_retry_after;
+    }
+
     /// Serves until `stop`, then goes on for a moment, answers all that was taken, and returns.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
+            let longest = self.settings.borrow().classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
             let kill =
                 Duration::try_from_secs_f64(longest.min(MOST_DEADLINE)).unwrap_or_default() + KILL_AFTER;
             let answers = kill - KILL_MARGIN;
@@ -271,9 +280,9 @@
         }
         let id = request.id;
         let headers = onward(head.headers);
-        let once = self.settings.classes[request.class].effect == Effect::Unsafe;
+        let once = self.settings.borrow().classes[request.class].effect == Effect::Unsafe;
         let over = Cell::new(false);
-        let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over };
+        let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over, stamp: None };
         let Some(answer) = self.engine.request(request, payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
@@ -297,7 +306,7 @@
     /// clients are told at all.
     fn refusal(&self, text: &'static str, wait: Option<Time>) -> Reply {
         let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, text);
-        let room = Some(FULL_WAIT.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0);
+        let room = Some(FULL_WAIT.min(self.settings.borrow().max_retry_after)).filter(|wait| *wait > 0.0);
         let wait = wait.or(room).and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok());
         if let Some(wait) = wait {
             reply.headers_mut().insert(RETRY_AFTER, wait);
@@ -319,7 +328,8 @@
             }
             _ => None,
         };
-        let deadline = self.settings.classes[class].deadline;
+        let settings = self.settings.borrow();
+        let deadline = settings.classes[class].deadline;
         let budget = match headers.contains_key("x-remaining-ms") {
             true => header(headers, "x-remaining-ms")
                 .and_then(|ms| ms.parse::<u32>().ok())
@@ -327,7 +337,7 @@
                 .ok_or("X-Remaining-Ms: expected whole milliseconds\n")?,
             false => deadline,
         };
-        if matches!(self.settings.classes[class].effect, Effect::Keyed { .. })
+        if matches!(settings.classes[class].effect, Effect::Keyed { .. })
             && !headers.contains_key("idempotency-key")
         {
             return Err("Idempotency-Key: expected for this class\n");
--- a/src/proxy/types.rs
+++ b/src/proxy/types.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Uri};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
@@ -41,8 +42,10 @@
     }
 }
 
+/// Puts headers on an attempt.
+pub type Stamp = Rc<dyn Fn(&mut HeaderMap)>;
+
 /// A request as it goes on to backends.
-#[derive(Debug)]
 pub struct Payload {
     /// Its method.
     pub method: Method,
@@ -56,6 +59,8 @@
     pub once: bool,
     /// It has had its final answer, or its client has left: nothing more of it may be sent.
     pub over: Cell<bool>,
+    /// What else goes on each attempt, as it is written.
+    pub stamp: Option<Stamp>,
 }
 
 impl Payload {
@@ -67,12 +72,15 @@
         *request.headers_mut() = self.headers.clone();
         let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
         request.headers_mut().insert("x-remaining-ms", wait);
+        if let Some(stamp) = &self.stamp {
+            stamp(request.headers_mut());
+        }
         request
     }
 }
 
 /// The part of the settings that sockets need and decisions don't.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct WireSettings {
     /// Class names, in the order of the settings.
     pub classes: Vec<String>,
--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -15,6 +15,7 @@
 //! - `/v1/lease/acquire`: `{"name":"…","holder":"…","ttlMs":T}`, answered `{"revision":N,"token":K}`, or 409
 //!   with the holder where another holds it unexpired;
 //! - `/v1/lease/keepalive` and `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost;
+//! - `/v1/settings` and `/v1/session/…`: settings, sessions and membership, as `agreed` describes them;
 //! - `/v1/cluster/forget`: `{"node":N}` takes a node whose disk is lost out of the members; it comes back with
 //!   an empty directory and `join = true`.
 //!
@@ -25,10 +26,12 @@
 //! `GET /v1/status` tells the node's number, leader, members, revision and age. `/raft/…` is for other nodes
 //! (`raft::network`); the port is for the fleet's own network.
 
+use super::agreed::{self, Renewals};
 use super::node::{Node, ProposeError};
 use super::raft::Applied;
 use super::raft::network::{self, CallError};
 use super::store::{Answer, Command, Instance, StoreError};
+use crate::agreement::state::AgreeError;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -37,7 +40,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 /// Longest wait of a watch, as `PROTOCOL` bounds it.
@@ -45,6 +48,9 @@
 /// Largest body of a write.
 const MOST_BODY: usize = 64 << 10;
 
+/// Largest command as JSON: with what the log puts around it still within a record of the log. A longer one would
+/// stop the node that logs it.
+const MOST_COMMAND: usize = 60 << 10;
 /// Most writes waiting at once; more are refused with 503 and `Retry-After`.
 const MOST_WRITES: usize = 4_096;
 /// How long the answer about this node's own standing may be waited for, when it passes on its own command.
@@ -54,11 +60,12 @@
 /// How old the list of an answer may be, in milliseconds (see the module's text).
 const AGE: &str = "x-list-age-ms";
 
-type Reply = Response<Full<Bytes>>;
+pub(super) type Reply = Response<Full<Bytes>>;
 
 /// Handles requests for one node, with a bound on watches waiting at once.
 pub struct Api {
-    node: Rc<Node>,
+    this: Weak<Api>,
+    pub(super) node: Rc<Node>,
     watching: Cell<usize>,
     writing: Cell<usize>,
     most_watchers: usize,
@@ -66,18 +73,35 @@
     /// The latest news as text, with the revisions it leads from and to: most watchers wait at one revision, and
     /// are sent the same.
     latest: RefCell<Option<(u64, u64, Bytes)>>,
+    /// The same of what is agreed, with the versions that the watcher has.
+    pub(super) latest_agreed: RefCell<Option<(u64, String, Bytes)>>,
+    /// Renewals of sessions that wait to be written together.
+    pub(super) renewals: Renewals,
 }
 
 /// Why a write is not done: the status, the reason, and whether it may still come to be applied.
-struct Undone {
+pub(super) struct Undone {
     status: StatusCode,
     why: String,
     outcome: Option<&'static str>,
+    /// More for the caller, beside the error.
+    more: serde_json::Value,
+}
+
+impl Undone {
+    /// A refusal with more for the caller beside its text.
+    pub(super) fn with(status: StatusCode, why: impl ToString, more: serde_json::Value) -> Self {
+        Self { more, ..undone(status, why, None) }
+    }
 }
 
 impl From<Undone> for Reply {
     fn from(undone: Undone) -> Self {
-        let mut body = json!({"error": undone.why});
+        let mut body = match undone.more {
+            serde_json::Value::Object(more) => serde_json::Value::Object(more),
+            _ => json!({}),
+        };
+        body["error"] = json!(undone.why);
         if let Some(outcome) = undone.outcome {
             body["outcome"] = json!(outcome);
         }
@@ -90,10 +114,10 @@
 }
 
 fn undone(status: StatusCode, why: impl ToString, outcome: Option<&'static str>) -> Undone {
-    Undone { status, why: why.to_string(), outcome }
+    Undone { status, why: why.to_string(), outcome, more: serde_json::Value::Null }
 }
 
-fn bad(why: impl ToString) -> Undone {
+pub(super) fn bad(why: impl ToString) -> Undone {
     undone(StatusCode::BAD_REQUEST, why, None)
 }
 
@@ -134,14 +158,14 @@
     weight: Option<f64>,
 }
 
-fn json_reply(status: StatusCode, body: String) -> Reply {
+pub(super) fn json_reply(status: StatusCode, body: String) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from(body)));
     *reply.status_mut() = status;
     reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
 
-fn error(status: StatusCode, text: impl ToString) -> Reply {
+pub(super) fn error(status: StatusCode, text: impl ToString) -> Reply {
     json_reply(status, json!({"error": text.to_string()}).to_string())
 }
 
@@ -151,15 +175,20 @@
         .into()
 }
 
-fn list_reply(body: Bytes) -> Reply {
+pub(super) fn list_reply(body: Bytes) -> Reply {
     let mut reply = json_reply(StatusCode::OK, String::new());
     *reply.body_mut() = Full::new(body);
     reply
 }
 
+/// A query parameter, if it is there.
+pub(super) fn text_parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
 /// A query parameter as a number; `Err` where it is there but not one.
-fn parameter(query: &str, name: &str) -> Result<Option<u64>, String> {
-    let found = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+pub(super) fn parameter(query: &str, name: &str) -> Result<Option<u64>, String> {
+    let found = text_parameter(query, name);
     found.map(|v| v.parse().map_err(|_| format!("{name} is not a whole number: {v}"))).transpose()
 }
 
@@ -192,6 +221,9 @@
             _ => Err(unknown()),
         };
     }
+    if path == "/v1/settings" || path.starts_with("/v1/session/") {
+        return Ok(Command::Agree { change: agreed::change(path, body)?, at_ms: 0 });
+    }
     if path == "/v1/register" {
         let Registration { instance, ttl_ms } = serde_json::from_slice(body).map_err(bad)?;
         return Ok(Command::Register { instance, ttl_ms, at_ms: 0 });
@@ -211,9 +243,31 @@
 impl Api {
     /// An API over `node` that lets at most `most_watchers` watches wait at once (more are refused, 503) and
     /// gives a write up after `write_within`.
-    pub fn new(node: Rc<Node>, most_watchers: usize, write_within: Duration) -> Self {
-        let (watching, writing) = (Cell::new(0), Cell::new(0));
-        Self { node, watching, writing, most_watchers, write_within, latest: RefCell::default() }
+    pub fn new(node: Rc<Node>, most_watchers: usize, write_within: Duration) -> Rc<Self> {
+        Rc::new_cyclic(|this| Self {
+            this: this.clone(),
+            node,
+            watching: Cell::new(0),
+            writing: Cell::new(0),
+            most_watchers,
+            write_within,
+            latest: RefCell::default(),
+            latest_agreed: RefCell::default(),
+            renewals: Renewals::default(),
+        })
+    }
+
+    /// This API, for tasks that outlive a call.
+    pub(super) fn this(&self) -> Weak<Api> {
+        self.this.clone()
+    }
+
+    /// Counts a watch that waits, or refuses it.
+    pub(super) fn count_watch(&self) -> Result<Counted<'_>, Undone> {
+        match self.watching.get() < self.most_watchers {
+            true => Ok(Counted::one(&self.watching)),
+            false => Err(undone(StatusCode::SERVICE_UNAVAILABLE, "too many watches", None)),
+        }
     }
 
     /// Watches waiting now.
@@ -230,6 +284,10 @@
         let query = request.uri().query().unwrap_or("").to_string();
         let mut reply = match (request.method().clone(), path.as_str()) {
             (Method::GET, "/api/targets") => self.targets(&query).await,
+            (Method::GET, "/v1/agreed") => self.agreed(&query).await.unwrap_or_else(Reply::from),
+            (Method::GET, "/v1/settings") => self.settings(&query).unwrap_or_else(Reply::from),
+            (Method::GET, "/v1/settings/history") => self.settings_history(),
+            (Method::GET, "/v1/fleet") => self.fleet(),
             (Method::GET, "/-/ready") => json_reply(StatusCode::OK, "{}".into()),
             (Method::GET, "/v1/status") => json_reply(StatusCode::OK, self.status().to_string()),
             (Method::GET, "/raft/joined") => match parameter(&query, "node") {
@@ -242,6 +300,9 @@
             (Method::POST, write) if write.starts_with("/v1/") => {
                 let passed_on = request.headers().contains_key(PASSED_ON);
                 match Limited::new(request.into_body(), MOST_BODY).collect().await {
+                    Ok(body) if write == "/v1/session/renew" && !passed_on => {
+                        self.renew(&body.to_bytes()).await.unwrap_or_else(Reply::from)
+                    }
                     Ok(body) => {
                         self.write(write, body.to_bytes(), passed_on).await.unwrap_or_else(Reply::from)
                     }
@@ -294,10 +355,10 @@
             (Err(e), _) | (_, Err(e)) => return error(StatusCode::BAD_REQUEST, e),
         };
         let Some(since) = since else { return list_reply(list(&self.node.shared().store().full())) };
-        if self.watching.get() >= self.most_watchers {
-            return undone(StatusCode::SERVICE_UNAVAILABLE, "too many watches", None).into();
-        }
-        let _watching = Counted::one(&self.watching);
+        let _watching = match self.count_watch() {
+            Ok(counted) => counted,
+            Err(undone) => return undone.into(),
+        };
         let news = self.node.news(since, Duration::from_millis(wait)).await;
         let revision = self.node.revision();
         if news {
@@ -327,8 +388,11 @@
     }
 
     /// Has a write done here or by the node that leads; a refusal is its status and its reason.
-    async fn write(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
+    pub(super) async fn write(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
         let command = command(path, &body)?;
+        if serde_json::to_vec(&command).map_or(usize::MAX, |json| json.len()) > MOST_COMMAND {
+            return Err(undone(StatusCode::PAYLOAD_TOO_LARGE, "a write of at most 60 KiB", None));
+        }
         if self.writing.get() >= MOST_WRITES {
             return Err(undone(StatusCode::SERVICE_UNAVAILABLE, "too many writes", Some("none")));
         }
@@ -340,11 +404,12 @@
                 return Err(undone(StatusCode::SERVICE_UNAVAILABLE, "no leader to write to", Some("none")));
             }
             let leader = match self.here(&command, left).await {
-                Ok(Applied { revision, token }) => {
-                    let body = match token {
-                        Some(token) => json!({"revision": revision, "token": token}),
-                        None => json!({"revision": revision}),
-                    };
+                Ok(Applied { revision, token, done }) => {
+                    let mut body = json!({"revision": revision});
+                    if let Some(token) = token {
+                        body["token"] = json!(token);
+                    }
+                    agreed::tell(done, &mut body);
                     return Ok(json_reply(StatusCode::OK, body.to_string()));
                 }
                 Err(ProposeError::NotLeader(leader)) => leader,
@@ -354,9 +419,17 @@
                             StatusCode::CONFLICT
                         }
                         StoreError::Unknown(_) => StatusCode::NOT_FOUND,
+                        StoreError::Agree(AgreeError::Full) => StatusCode::SERVICE_UNAVAILABLE,
+                        StoreError::Agree(
+                            AgreeError::Behind(_)
+                            | AgreeError::Lost(_)
+                            | AgreeError::NotOffered(_)
+                            | AgreeError::Conflict { .. },
+                        ) => StatusCode::CONFLICT,
                         _ => StatusCode::BAD_REQUEST,
                     };
-                    return Err(undone(status, why, None));
+                    let more = self.refused(&why);
+                    return Err(Undone::with(status, why, more));
                 }
                 Err(why @ (ProposeError::Late | ProposeError::Failed(_))) => {
                     return Err(undone(StatusCode::SERVICE_UNAVAILABLE, why, Some("unknown")));
@@ -435,7 +508,7 @@
 }
 
 /// One more in a count, for as long as it lives: an aborted call counts no longer.
-struct Counted<'a>(&'a Cell<usize>);
+pub(super) struct Counted<'a>(&'a Cell<usize>);
 
 impl<'a> Counted<'a> {
     fn one(count: &'a Cell<usize>) -> Self {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,8 +1,9 @@
 //! The list service: discovery of the project's own (`PROTOCOL`, "Discovery"), with a write API for
 //! backends and operators, replicated on 3 or 5 nodes (or on one). `store` is its pure state machine, `raft`
 //! the replicated log that it is applied from, `clock` the log's time, `node` one node with its watches, `api`
-//! serves HTTP.
+//! serves HTTP, and `agreed` its part for settings and sessions.
 
+mod agreed;
 pub mod api;
 pub mod clock;
 pub mod node;
@@ -190,7 +191,7 @@
     tokio::task::spawn_local(async move { expiring.expire_every(every).await });
     tokio::task::spawn_local(async move { following.follow_quorum().await });
     let write_within = Duration::from_millis(config.write_within_ms);
-    let api = Rc::new(api::Api::new(node.clone(), config.most_watchers, write_within));
+    let api = api::Api::new(node.clone(), config.most_watchers, write_within);
     let joining = async {
         node.take_part().await?;
         if !config.peers.is_empty() {
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -14,7 +14,8 @@
 use super::raft::machine::{Machine, Shared};
 use super::raft::network::{CallError, Network, Peer, SNAPSHOT_CHUNK};
 use super::raft::{Applied, NodeId, Raft};
-use super::store::{Command, StoreError};
+use super::store::{Command, Store, StoreError};
+use crate::agreement::state::Command as Change;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -24,11 +25,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Entries of the log after which a snapshot is taken, and how many are kept behind it for nodes that lag.
 const SNAPSHOT_EVERY: u64 = 5_000;
 const KEPT_BEHIND: u64 = 1_000;
+/// Entries sent in one call between nodes.
+const MOST_ENTRIES_A_CALL: u64 = 100;
 /// How much longer than the expiry tick the log's clock may count between two readings.
 const CLOCK_SLACK: Duration = Duration::from_millis(400);
 /// What the monotonic clock shows at the start: enough that a fault test can put it back.
@@ -106,6 +109,8 @@
         install_snapshot_timeout: 2_000,
         snapshot_max_chunk_size: SNAPSHOT_CHUNK,
         snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_EVERY),
+        // So many of the largest records are still within the largest body of a call between nodes.
+        max_payload_entries: MOST_ENTRIES_A_CALL,
         max_in_snapshot_log_to_keep: KEPT_BEHIND,
         purge_batch_size: KEPT_BEHIND,
         ..Default::default()
@@ -289,6 +294,14 @@
             | Command::Acquire { at_ms, .. }
             | Command::KeepAlive { at_ms, .. }
             | Command::Expire { at_ms } => *at_ms = now,
+            Command::Agree { at_ms, change } => {
+                *at_ms = now;
+                if let Change::Publish { unix_ms, .. } = change {
+                    // For people to read; nothing is decided by it.
+                    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                    *unix_ms = unix.as_millis() as u64;
+                }
+            }
             Command::Deregister { .. }
             | Command::SetWeight { .. }
             | Command::Drain { .. }
@@ -416,11 +429,20 @@
         self.shared.store().revision()
     }
 
-    /// Waits until there is news since revision `since`, at most `wait`; whether there is.
+    /// Waits until there is news of the list since revision `since`, at most `wait`; whether there is.
     pub async fn news(&self, since: u64, wait: Duration) -> bool {
+        self.wait_for(wait, |store| store.has_news(since)).await
+    }
+
+    /// The same for what is agreed.
+    pub async fn agreed_news(&self, since: u64, wait: Duration) -> bool {
+        self.wait_for(wait, |store| store.agreement().changed() > since).await
+    }
+
+    async fn wait_for(&self, wait: Duration, come: impl Fn(&Store) -> bool) -> bool {
         let mut revisions = self.shared.revisions();
         let news = async {
-            while !self.shared.store().has_news(since) {
+            while !come(&self.shared.store()) {
                 if revisions.changed().await.is_err() {
                     // The node is going away: wait out the time.
                     std::future::pending::<()>().await;
@@ -445,9 +467,12 @@
         loop {
             tick.tick().await;
             let now = self.now();
-            let lapsed = if self.leads() { self.shared.store().lapsed(now).len() } else { 0 };
+            let (due, lapsed) = {
+                let store = self.shared.store();
+                (self.leads() && store.due(now), store.lapsed(now).len())
+            };
             // An expiry that is not committed is made again at the next tick.
-            if lapsed > 0 && self.propose(Command::Expire { at_ms: 0 }, every.max(ROUND)).await.is_ok() {
+            if due && self.propose(Command::Expire { at_ms: 0 }, every.max(ROUND)).await.is_ok() {
                 self.expired.set(self.expired.get() + lapsed as u64);
             }
         }
--- a/src/registry/raft/machine.rs
+++ b/src/registry/raft/machine.rs
@@ -4,6 +4,7 @@
 
 use super::log::{DiskError, replace, unframe};
 use super::{Applied, Entry, LogId, Membership, StorageError, TypeConfig};
+use crate::agreement::state::Done;
 use crate::registry::store::{Command, Snapshot as StoreSnapshot, Store, StoreError};
 use openraft::storage::RaftStateMachine;
 use openraft::{
@@ -138,14 +139,20 @@
         self.shared.clone()
     }
 
+    /// What an entry of Raft's own came to.
+    fn nothing_done(&self) -> Result<Applied, StoreError> {
+        Ok(Applied { revision: self.shared.store().revision(), token: None, done: Done::Nothing })
+    }
+
     fn apply_one(&mut self, command: &Command) -> Result<Applied, StoreError> {
         let mut store = self.shared.store();
-        let revision = store.apply(command)?;
+        let done = store.apply_to(command)?;
+        let revision = store.revision();
         let token = match command {
             Command::Acquire { name, .. } => store.lease(name).map(|grant| grant.token),
             _ => None,
         };
-        Ok(Applied { revision, token })
+        Ok(Applied { revision, token, done })
     }
 }
 
@@ -166,10 +173,10 @@
             self.applied = Some(entry.log_id);
             results.push(match entry.payload {
                 EntryPayload::Normal(command) => self.apply_one(&command),
-                EntryPayload::Blank => Ok(Applied { revision: self.shared.store().revision(), token: None }),
+                EntryPayload::Blank => self.nothing_done(),
                 EntryPayload::Membership(members) => {
                     self.membership = Membership::new(Some(entry.log_id), members);
-                    Ok(Applied { revision: self.shared.store().revision(), token: None })
+                    self.nothing_done()
                 }
             });
         }
--- a/src/registry/raft/mod.rs
+++ b/src/registry/raft/mod.rs
@@ -6,6 +6,7 @@
 pub mod network;
 
 use super::store::{Command, StoreError};
+use crate::agreement::state::Done;
 use serde::{Deserialize, Serialize};
 use std::io::Cursor;
 
@@ -13,12 +14,14 @@
 pub type NodeId = u64;
 
 /// What a command that was applied made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Applied {
     /// The revision after it.
     pub revision: u64,
     /// For an acquire, the fencing token granted.
     pub token: Option<u64>,
+    /// What a change of the agreement came to.
+    pub done: Done,
 }
 
 openraft::declare_raft_types!(
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -10,6 +10,7 @@
 //! Time: `at_ms` in commands is the log's clock (`clock`) as the leader read it, in milliseconds, made monotonic
 //! by [`Store::stamp`]: a command stamped below one applied before counts as stamped with that one's time.
 
+use crate::agreement::state::{self, AgreeError, Agreement, Done};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -140,6 +141,13 @@
         /// Drawn when its log was first made.
         incarnation: u64,
     },
+    /// A change of the agreement: sessions, settings (`agreement::state`).
+    Agree {
+        /// The change.
+        change: state::Command,
+        /// The leader's time.
+        at_ms: u64,
+    },
     /// Forgets the log of a node that has left the cluster's members.
     Forget {
         /// The node.
@@ -193,6 +201,9 @@
     /// Another log of that node takes part already.
     #[error("another log of node {0} has taken part in this cluster")]
     Joined(u64),
+    /// The agreement refused a change.
+    #[error(transparent)]
+    Agree(#[from] AgreeError),
     /// `MOST_LEASES` are held already.
     #[error("too many leases ({MOST_LEASES})")]
     TooManyLeases,
@@ -240,6 +251,10 @@
     leases: BTreeMap<String, Grant>,
     #[serde(default)]
     nodes: BTreeMap<u64, u64>,
+    #[serde(default)]
+    list_revision: u64,
+    #[serde(default)]
+    agreement: Agreement,
 }
 
 /// The list and its revision. One owner: the node that applies the log.
@@ -257,12 +272,23 @@
     leases: BTreeMap<String, Grant>,
     /// The nodes that take part, by number, with the incarnation of their log.
     nodes: BTreeMap<u64, u64>,
+    /// The revision of the list's latest change.
+    list_revision: u64,
+    /// Sessions, membership and settings.
+    agreement: Agreement,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        let (listed, leases, nodes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self::restore(Snapshot { revision: 1, listed, clock_ms: 0, leases, nodes })
+        Self::restore(Snapshot {
+            revision: 1,
+            listed: BTreeMap::new(),
+            clock_ms: 0,
+            leases: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            list_revision: 0,
+            agreement: Agreement::default(),
+        })
     }
 }
 
@@ -290,15 +316,38 @@
 
     /// The state to write to disk.
     pub fn snapshot(&self) -> Snapshot {
-        let (listed, leases, nodes) = (self.listed.clone(), self.leases.clone(), self.nodes.clone());
-        Snapshot { revision: self.revision, listed, clock_ms: self.clock_ms, leases, nodes }
+        Snapshot {
+            revision: self.revision,
+            listed: self.listed.clone(),
+            clock_ms: self.clock_ms,
+            leases: self.leases.clone(),
+            nodes: self.nodes.clone(),
+            list_revision: self.list_revision,
+            agreement: self.agreement.clone(),
+        }
     }
 
     /// A store as a snapshot left it.
     pub fn restore(snapshot: Snapshot) -> Self {
-        let Snapshot { revision, listed, clock_ms, leases, nodes } = snapshot;
-        let bytes = listed.values().map(|l| size(&l.instance)).sum();
-        Self { revision, listed, bytes, changes: VecDeque::new(), clock_ms, leases, nodes }
+        let Snapshot { revision, listed, clock_ms, leases, nodes, list_revision, agreement } = snapshot;
+        let (bytes, changes) = (listed.values().map(|l| size(&l.instance)).sum(), VecDeque::new());
+        Self { revision, listed, bytes, changes, clock_ms, leases, nodes, list_revision, agreement }
+    }
+
+    /// The revision of the list's latest change.
+    pub fn list_revision(&self) -> u64 {
+        self.list_revision
+    }
+
+    /// Sessions, membership and settings.
+    pub fn agreement(&self) -> &Agreement {
+        &self.agreement
+    }
+
+    /// Whether an expiry at `at_ms` would change anything.
+    pub fn due(&self, at_ms: u64) -> bool {
+        let at = self.stamp(at_ms);
+        self.agreement.due(at) || self.listed.values().any(|l| l.expires_at_ms <= at)
     }
 
     /// The ids whose TTL has run out by `at_ms`, in order: what an expiry then takes off.
@@ -324,7 +373,18 @@
 
     /// Applies one command; returns the revision after it.
     pub fn apply(&mut self, command: &Command) -> Result<u64, StoreError> {
+        self.apply_to(command).map(|_| self.revision)
+    }
+
+    /// Applies one command; returns what a change of the agreement came to.
+    pub fn apply_to(&mut self, command: &Command) -> Result<Done, StoreError> {
         match command {
+            Command::Agree { change, at_ms } => {
+                let (at, list) = (self.stamp(*at_ms), self.list_revision);
+                let done = self.agreement.apply(change, at, list, &mut self.revision)?;
+                self.clock_ms = at;
+                return Ok(done);
+            }
             Command::Register { instance, ttl_ms, at_ms } => {
                 if !(TTL_MS[0]..=TTL_MS[1]).contains(ttl_ms) {
                     return Err(StoreError::Ttl(*ttl_ms));
@@ -448,9 +508,10 @@
                 for id in self.lapsed(at) {
                     self.take_off(&id);
                 }
+                self.agreement.tick(at, &mut self.revision);
             }
         }
-        Ok(self.revision)
+        Ok(Done::Nothing)
     }
 
     /// The whole list at the current revision.
@@ -512,6 +573,7 @@
 
     fn changed(&mut self, instance: Instance) {
         self.revision += 1;
+        self.list_revision = self.revision;
         if self.changes.len() >= MOST_CHANGES {
             self.changes.pop_front();
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -489,6 +489,7 @@
         body: "body".into(),
         once,
         over: Default::default(),
+        stamp: None,
     }
 }
 
