Linger when a client's connection ends, and notice a client that goes behind unread bytes

Seen: a close over unread bytes resets the connection and takes the rest of an answer with it (4,096 of 60,000 bytes came); the process ended while a slow reader's answer was still in its buffers, as the end counted owed answers only; a client that pipelined a byte and closed went unnoticed for its whole deadline (19.97 s), as hyper reads no further than the beginning of a next request, and a held request of such a client was sent on after it had gone; connections that the system had accepted but the runtime not heard of were reset with the listener.

Ruled out by a test on the code before: the 413 of a body far too large reached its sender there too; hyper 1.12 flushes before it shuts down, so nothing of hyper's own buffer is lost at a close.

Change: the stream stays in hand while hyper drives it (`proxy/stream.rs`). A connection ends by shutting down its sending side and dropping what still comes, for 300 ms and 1 MiB at most; it counts as a connection until then and makes room like one that rests. A client's end is looked for behind unread bytes. The process waits for answers that the system has not taken, up to the time for answers. The listener is closed only when nothing waits on it.

Measured: the tests of `tests/peers.rs` under "how connections to clients end" fail on the code before but for the 413's.

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,4 +8,5 @@
 pub mod listcache;
 pub mod lists;
 pub mod server;
+pub mod stream;
 pub mod types;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,6 +2,7 @@
 
 use super::backend::MOST_BODY;
 use super::engine::{Answer, Engine};
+use super::stream::{Stream, Unsent};
 use super::types::{Payload, WireSettings};
 use crate::{Effect, Request, RequestId, Rules, Settings, Time};
 use bytes::{Bytes, BytesMut};
@@ -15,7 +16,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +44,9 @@
 const WHOLE_TIMEOUT: Duration = Duration::from_millis(2600);
 /// So much of a body that is too large is read, so that the client gets to see the answer.
 const MOST_DISCARDED: usize = 16 * MOST_BODY;
+/// How long a connection that is ended here may still send what is dropped: its client sees the end meanwhile. Those
+/// that are given up have gone by the 3 s within which a peer is owed an end.
+const LINGER_CLOSE: Duration = Duration::from_millis(300);
 /// Largest head of a request.
 const MOST_HEAD: usize = 32 << 10;
 /// Connections beyond the limit that are answered with a refusal, as a part of the limit.
@@ -54,6 +57,11 @@
 
 type Reply = Response<Full<Bytes>>;
 
+/// The client has closed its connection: no one waits for the answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the client has gone")]
+struct ClientGone;
+
 /// Answers clients.
 pub struct Server {
     engine: Rc<Engine>,
@@ -66,6 +74,8 @@
     connections: Cell<usize>,
     most: usize,
     closed: Notify,
+    /// The connections with bytes of an answer that the system has not taken yet.
+    unsent: Unsent,
     /// The connections without a request in hand, the one that has rested longest first.
     resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
     rests: Cell<u64>,
@@ -105,6 +115,18 @@
     }
 }
 
+impl Place {
+    /// Lingering close: its descriptor counts until then, and it makes room like any that rests.
+    async fn linger(&self, stream: Stream, evicted: bool) {
+        self.rest();
+        let most = if evicted { STEP } else { LINGER_CLOSE };
+        tokio::select! {
+            _ = tokio::time::timeout(most, stream.drain(MOST_DISCARDED)) => {}
+            () = self.evicted.notified() => {}
+        }
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.work();
@@ -144,6 +166,7 @@
             connections: Cell::new(0),
             most: connections,
             closed: Notify::new(),
+            unsent: Unsent::default(),
             resting: RefCell::default(),
             rests: Cell::default(),
         })
@@ -176,19 +199,22 @@
             () = stopped => {}
         }
         // What the system has accepted for us is ours to answer too.
-        while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().serve(stream);
-        }
-        drop(listener);
+        accepted_by_the_system(listener).into_iter().for_each(|stream| self.clone().serve(stream));
         self.closing.send_replace(true);
         // A client that neither finishes its request nor goes away must not keep us until SIGKILL.
         let mut idle = 0;
         while self.connections.get() > 0 && idle < IDLE_STEPS {
             let _ = tokio::time::timeout(STEP, self.closed.notified()).await;
-            idle = if self.engine.owes_answers() { 0 } else { idle + 1 };
+            let busy = self.engine.owes_answers() || self.unsent.get() > 0;
+            idle = if busy && !self.killed_soon() { 0 } else { idle + 1 };
         }
     }
 
+    /// Too late for what still has to be answered.
+    fn killed_soon(&self) -> bool {
+        self.answer_by.get().is_some_and(|by| Instant::now() > by)
+    }
+
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
             while self.connections.get() >= self.most + self.most / OVERFLOW {
@@ -210,40 +236,47 @@
         let full = self.connections.get() >= self.most && !self.evict();
         let place = Place::take(self);
         tokio::task::spawn_local(async move {
-            let server = &place.server;
-            let mut closing = server.closing.subscribe();
-            let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
-            let service = service_fn(|request| async {
-                let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
-                place.work();
-                let mut reply = server.reply(request, full, whole_by).await;
-                place.rest();
-                if full {
-                    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                }
-                Ok::<_, Infallible>(reply)
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
-                .max_buf_size(MOST_HEAD)
-                .serve_connection(TokioIo::new(stream), service);
-            let mut connection = std::pin::pin!(connection);
-            let evicted = tokio::select! {
-                biased; // a request that has come is read before the connection is closed
-                _ = connection.as_mut() => return, // its end is no news: clients come and go
-                _ = closing.wait_for(|closing| *closing) => false,
-                () = place.evicted.notified() => true,
-            };
-            connection.as_mut().graceful_shutdown();
-            if evicted {
-                let ended = tokio::time::timeout(STEP, connection.as_mut()).await;
-                if ended.is_ok() || !place.works.get() {
-                    return; // nothing was sent on it, or no whole head in all that time
-                }
+            let stream = Stream::counted(stream, place.server.unsent.clone());
+            let evicted = place.server.converse(&place, &stream, full).await;
+            place.linger(stream, evicted).await;
+        });
+    }
+
+    /// Answers one request after another, up to the connection's end; tells whether it had to make room.
+    async fn converse(&self, place: &Place, stream: &Stream, full: bool) -> bool {
+        let mut closing = self.closing.subscribe();
+        let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
+        let service = service_fn(|request| async {
+            let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
+            place.work();
+            let mut reply = self.reply(request, full, whole_by, stream).await?;
+            place.rest();
+            if full {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let _ = connection.await;
+            Ok::<_, ClientGone>(reply)
         });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MOST_HEAD)
+            .serve_connection(TokioIo::new(stream.clone()), service);
+        let mut connection = std::pin::pin!(connection);
+        let evicted = tokio::select! {
+            biased; // a request that has come is read before the connection is closed
+            _ = connection.as_mut() => return false, // its end is no news: clients come and go
+            _ = closing.wait_for(|closing| *closing) => false,
+            () = place.evicted.notified() => true,
+        };
+        connection.as_mut().graceful_shutdown();
+        if evicted {
+            let ended = tokio::time::timeout(STEP, connection.as_mut()).await;
+            if ended.is_ok() || !place.works.get() {
+                return true; // nothing was sent on it, or no whole head in all that time
+            }
+        }
+        let _ = connection.await;
+        evicted
     }
 
     /// Closes the connection that has rested longest; tells whether there was one.
@@ -255,25 +288,31 @@
         })
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, full: bool, whole_by: Instant) -> Reply {
+    async fn reply(
+        &self,
+        request: hyper::Request<Incoming>,
+        full: bool,
+        whole_by: Instant,
+        stream: &Stream,
+    ) -> Result<Reply, ClientGone> {
         if request.uri().path() == "/-/ready" {
-            return match self.engine.listed() && self.answer_by.get().is_none() {
+            return Ok(match self.engine.listed() && self.answer_by.get().is_none() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            };
+            });
         }
         let (head, body) = request.into_parts();
         let body = match tokio::time::timeout_at(whole_by, read(body)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(problem)) => return problem,
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
+            Ok(Err(problem)) => return Ok(problem),
+            Err(_) => return Ok(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
         let mut request = match self.request(&head.headers) {
             Ok(request) => request,
-            Err(problem) => return plain(StatusCode::BAD_REQUEST, problem),
+            Err(problem) => return Ok(plain(StatusCode::BAD_REQUEST, problem)),
         };
         if full {
-            return self.refusal("too many connections\n", None);
+            return Ok(self.refusal("too many connections\n", None));
         }
         if let Some(by) = self.answer_by.get() {
             request.budget = request.budget.min(by.saturating_duration_since(Instant::now()).as_secs_f64());
@@ -284,12 +323,16 @@
         let over = Cell::new(false);
         let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over, stamp: None };
         let Some(answer) = self.engine.request(request, payload) else {
-            return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
+            return Ok(plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n"));
         };
         let leaving = Leaving(&self.engine, id);
-        let answer = answer.await;
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = stream.closed_by_peer() => return Err(ClientGone),
+        };
         drop(leaving); // it has had its answer: nothing is told
-        match answer {
+        Ok(match answer {
             Ok(Answer::Served(served)) => {
                 let mut reply = Response::new(Full::new(served.body));
                 if let Some(content_type) = served.content_type {
@@ -299,7 +342,7 @@
             }
             Ok(Answer::Refused(wait)) => self.refusal("refused, try again\n", wait),
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        }
+        })
     }
 
     /// A refusal, and when to return: as the module says, else once there may be room, where
@@ -401,6 +444,18 @@
     }
 }
 
+/// Closes the listener and takes what the system had accepted on it by then, whether or not the runtime has heard of
+/// it: closing it with connections waiting would reset them.
+pub fn accepted_by_the_system(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    std::iter::from_fn(|| listener.accept().ok())
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 /// Binds the listener.
 pub fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
     let socket = match address.is_ipv4() {
--- /dev/null
+++ b/src/proxy/stream.rs
@@ -0,0 +1,166 @@
+//! A TCP stream that stays in hand while hyper drives it: what lies unread on it, whether its peer has gone, and
+//! whether all that was written has left this process can be asked beside the bytes that hyper reads and writes.
+
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How often a connection that holds unread bytes is looked at for its peer's end: nothing wakes whoever waits for
+/// an end behind bytes that are not read.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// What the system holds of a connection that this process has not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// Nothing.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// Its end: the peer has closed it.
+    End,
+    /// Its end: it broke.
+    Broken,
+}
+
+/// A gauge of the connections that hold bytes not yet handed to the system.
+pub type Unsent = Rc<Cell<usize>>;
+
+struct Inner {
+    stream: RefCell<TcpStream>,
+    /// The peer's end has been read.
+    ended: Cell<bool>,
+    /// It counts in the gauge.
+    counted: Cell<bool>,
+    unsent: Unsent,
+}
+
+/// A stream of which hyper has a handle and its owner another.
+#[derive(Clone)]
+pub struct Stream(Rc<Inner>);
+
+impl Stream {
+    /// Of a connected socket.
+    pub fn new(stream: TcpStream) -> Self {
+        Self::counted(stream, Unsent::default())
+    }
+
+    /// The same, counted in `unsent` while it holds bytes not yet handed to the system.
+    pub fn counted(stream: TcpStream, unsent: Unsent) -> Self {
+        let (stream, ended, counted) = (RefCell::new(stream), Cell::default(), Cell::default());
+        Self(Rc::new(Inner { stream, ended, counted, unsent }))
+    }
+
+    /// What lies unread at this moment, whether or not the runtime has heard of it.
+    pub fn unread(&self) -> Unread {
+        let stream = self.0.stream.borrow();
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Unread::End,
+            Ok(_) => Unread::Bytes,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
+            Err(_) => Unread::Broken,
+        }
+    }
+
+    /// Ends once the peer has closed or reset the connection, though bytes may lie unread before that end: whoever
+    /// reads no further, as hyper does behind the beginning of a next request, hears of no end.
+    pub async fn closed_by_peer(&self) {
+        loop {
+            let readable = poll_fn(|cx| self.0.stream.borrow().poll_read_ready(cx)).await;
+            let ended = matches!(self.unread(), Unread::End | Unread::Broken);
+            if readable.is_err() || ended || self.read_closed() {
+                return;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// The system has told of an end, maybe behind unread bytes.
+    fn read_closed(&self) -> bool {
+        let stream = self.0.stream.borrow();
+        let ready = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Ends sending, then reads and drops what still comes: up to the peer's end, or `most` bytes. A close over
+    /// unread bytes resets the connection, and what was written last is lost with it (RFC 9112, 9.6).
+    pub async fn drain(mut self, most: usize) {
+        self.0.count(false); // what hyper has not written is not written any more
+        if self.0.ended.get() {
+            return;
+        }
+        // An error means that there is no one to drain for; reading tells the same.
+        let _ = SockRef::from(&*self.0.stream.borrow()).shutdown(std::net::Shutdown::Write);
+        let (mut left, mut buffer) = (most, [0; 4096]);
+        while let Ok(read @ 1..) = self.read(&mut buffer).await {
+            left = left.saturating_sub(read);
+            if left == 0 {
+                return;
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn count(&self, holds: bool) {
+        if self.counted.replace(holds) != holds {
+            let others = self.unsent.get() - usize::from(!holds);
+            self.unsent.set(others + usize::from(holds));
+        }
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.count(false);
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let (before, room) = (buf.filled().len(), buf.remaining());
+        let read = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
+        if let Poll::Ready(result) = &read {
+            let end = room > 0 && buf.filled().len() == before;
+            self.0.ended.set(self.0.ended.get() || end || result.is_err());
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.0.count(true);
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0.count(true);
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    /// Asked for once all that was written is handed on.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.count(false);
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -5,10 +5,13 @@
 use gannetproxy::proxy::server::{self, Server};
 use gannetproxy::proxy::types::{Listed, News, WireSettings};
 use gannetproxy::{Class, Effect, Entry, Settings};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -27,6 +30,20 @@
     connections: usize,
     stop: impl Future<Output = ()> + 'static,
     play: impl FnOnce(SocketAddr) -> F,
+) -> F::Output {
+    let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    with_listener(listener, Rc::default(), backend, class, connections, stop, play).await
+}
+
+/// The same on a listener; `ended` tells when the server has returned, as the process does then.
+async fn with_listener<F: Future>(
+    listener: TcpListener,
+    ended: Rc<Cell<bool>>,
+    backend: Option<SocketAddr>,
+    class: Class,
+    connections: usize,
+    stop: impl Future<Output = ()> + 'static,
+    play: impl FnOnce(SocketAddr) -> F,
 ) -> F::Output {
     let settings = Settings { classes: vec![class], ..Settings::default() };
     let wire = WireSettings {
@@ -43,10 +60,12 @@
             let engine = Engine::start(settings.clone(), &wire, 1, 8);
             let listed = backend.map(|address| Listed { entry: Entry::default(), address });
             engine.news(News::Remembered(listed.into_iter().collect()));
-            let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
             let address = listener.local_addr().unwrap();
             let server = Server::new(engine, settings, wire, connections);
-            tokio::task::spawn_local(server.run(listener, stop));
+            tokio::task::spawn_local(async move {
+                server.run(listener, stop).await;
+                ended.set(true);
+            });
             play(address).await
         })
         .await
@@ -78,6 +97,8 @@
     let took = with_server(8, |address| async move {
         let start = Instant::now();
         let mut stream = TcpStream::connect(address).await.unwrap();
+        // Else the system holds bytes back by its own clock, which does not pause.
+        stream.set_nodelay(true).unwrap();
         let text = format!("{HEAD}Content-Length: 1000\r\n\r\n{}", "x".repeat(1000));
         for byte in text.bytes() {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -195,3 +216,227 @@
     assert!(heads[2].starts_with("HTTP/1.1 5") && ended, "{heads:?}");
     assert!(took < Duration::from_millis(killed - 300), "{took:?}");
 }
+
+// ---- how connections to clients end ----
+
+/// So much time passes, in which all that is on its way on loopback arrives.
+const MOMENT: Duration = Duration::from_millis(10);
+/// The body of a long answer: more than the smallest socket buffers hold.
+const LONG_BODY: usize = 60_000;
+
+fn unsafe_class() -> Class {
+    Class { aim: 20.0, deadline: 20.0, effect: Effect::Unsafe, ..Class::default() }
+}
+
+/// A client whose system holds little that it has not read.
+async fn slow_reader(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+/// Reads little by little to the end, or to a reset; what came.
+async fn read_slowly(stream: &mut TcpStream) -> Vec<u8> {
+    let mut got = Vec::new();
+    let mut piece = [0; 1000];
+    while let Ok(read @ 1..) = stream.read(&mut piece).await {
+        got.extend_from_slice(&piece[..read]);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    got
+}
+
+/// The body of what came, if it came whole.
+fn whole_body(got: &[u8]) -> Option<usize> {
+    let head = got.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&got[..head]).to_lowercase();
+    let length: usize = text.split("content-length: ").nth(1)?.split("\r\n").next()?.parse().ok()?;
+    (got.len() - head == length).then_some(length)
+}
+
+/// Takes one request, and answers it at length once told to.
+async fn long_answer(backend: &TcpListener, go: oneshot::Receiver<()>) -> TcpStream {
+    let (mut stream, _) = backend.accept().await.unwrap();
+    let mut got = Vec::new();
+    while !got.ends_with(b"\r\n\r\n") && stream.read_buf(&mut got).await.unwrap() > 0 {}
+    go.await.unwrap();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY}\r\n\r\n{}", "x".repeat(LONG_BODY));
+    stream.write_all(answer.as_bytes()).await.unwrap();
+    stream
+}
+
+/// A close over unread bytes is a reset, which destroys what the client's system has not taken yet.
+#[tokio::test(start_paused = true)]
+async fn an_answer_comes_whole_though_bytes_lie_unread_behind_its_request() {
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let play = |address| async move {
+        let (go, told) = oneshot::channel();
+        let client = async {
+            let mut stream = slow_reader(address).await;
+            let text = format!("{HEAD}X-Remaining-Ms: 20000\r\nConnection: close\r\n\r\n");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            // The first piece is read while the answer is waited for, the second no more.
+            for piece in ["GET", " /api HTTP/1.1"] {
+                tokio::time::sleep(MOMENT).await;
+                stream.write_all(piece.as_bytes()).await.unwrap();
+            }
+            tokio::time::sleep(MOMENT).await;
+            go.send(()).unwrap();
+            read_slowly(&mut stream).await
+        };
+        tokio::join!(client, long_answer(&backend, told)).0
+    };
+    let got = with_backend(address, unsafe_class(), 8, std::future::pending(), play).await;
+    assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
+}
+
+/// Whoever sends too much is still writing when the answer comes: the close must not take it back.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_sends_far_too_much_gets_to_see_why() {
+    let (wrote, got) = with_server(8, |address| async move {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let body = vec![b'x'; 3 << 19];
+        let head = format!("{HEAD}Content-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let wrote = stream.write_all(&body).await.is_ok();
+        let mut got = Vec::new();
+        let _ = stream.read_to_end(&mut got).await;
+        (wrote, got)
+    })
+    .await;
+    assert!(wrote && got.starts_with(b"HTTP/1.1 413"), "{wrote}: {}", String::from_utf8_lossy(&got));
+}
+
+/// The process must not end while an answer is still in its own buffers, even if no request is open any more.
+#[tokio::test(start_paused = true)]
+async fn a_slow_reader_has_its_whole_answer_before_the_process_ends() {
+    let stop = Duration::from_millis(500);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap(); // its connections have the same
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let (ended, seen) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let (watched, ended_early) = (ended.clone(), seen.clone());
+    let play = |address| async move {
+        let (go, told) = oneshot::channel();
+        go.send(()).unwrap();
+        let client = async {
+            let begin = Instant::now();
+            let mut stream = slow_reader(address).await;
+            let text = format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            // Past the time for which idle connections are waited for, before SIGKILL.
+            tokio::time::sleep_until(begin + stop + Duration::from_millis(2900)).await;
+            ended_early.set(watched.get());
+            read_slowly(&mut stream).await
+        };
+        tokio::join!(client, long_answer(&backend, told)).0
+    };
+    let stopped = tokio::time::sleep(stop);
+    let got = with_listener(listener, ended, address, unsafe_class(), 8, stopped, play).await;
+    assert!(!seen.get(), "the process would have ended before the answer was out");
+    assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
+}
+
+/// hyper reads no further than the beginning of a next request, and so hears of no end behind it.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_pipelines_a_byte_and_goes_is_noticed_and_nothing_more_is_sent() {
+    for reset in [false, true] {
+        let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = backend.local_addr().ok();
+        let class = Class { aim: 20.0, deadline: 20.0, effect: Effect::Safe, ..Class::default() };
+        let play = |address| async move {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            let text = format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n");
+            client.write_all(text.as_bytes()).await.unwrap();
+            let (mut attempt, _) = backend.accept().await.unwrap();
+            client.write_all(b"G").await.unwrap();
+            tokio::time::sleep(MOMENT).await;
+            client.write_all(b"ET").await.unwrap();
+            tokio::time::sleep(MOMENT).await;
+            if reset {
+                socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            drop(client);
+            let left = Instant::now();
+            attempt.read_to_end(&mut Vec::new()).await.unwrap();
+            let noticed = left.elapsed();
+            // Its timers would repeat it for the next seconds.
+            let further = tokio::time::timeout(Duration::from_secs(30), backend.accept()).await;
+            (noticed, further.is_ok())
+        };
+        let (noticed, further) = with_backend(address, class, 8, std::future::pending(), play).await;
+        assert!(noticed <= Duration::from_millis(100), "reset {reset}: {noticed:?}");
+        assert!(!further, "reset {reset}: it was sent again");
+    }
+}
+
+/// A request that waits for its turn is dropped with its client, and not sent when the turn comes.
+#[tokio::test(start_paused = true)]
+async fn a_held_request_whose_client_has_gone_is_never_sent() {
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let class = Class { in_order: true, ..unsafe_class() };
+    let play = |address| async move {
+        let ask = async |txn: u8| {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            let text = format!("{HEAD}X-Remaining-Ms: 20000\r\nCookie: sid=7f3a9c21e0b4d655\r\n\r\n")
+                .replace("X-Txn: 9", &format!("X-Txn: {txn}"));
+            client.write_all(text.as_bytes()).await.unwrap();
+            client
+        };
+        let mut first = ask(1).await;
+        let (mut attempt, _) = backend.accept().await.unwrap();
+        let mut second = ask(2).await;
+        tokio::time::sleep(MOMENT).await;
+        second.write_all(b"G").await.unwrap();
+        tokio::time::sleep(MOMENT).await;
+        drop(second);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        // Its turn comes.
+        let mut got = Vec::new();
+        while !got.ends_with(b"\r\n\r\n") && attempt.read_buf(&mut got).await.unwrap() > 0 {}
+        attempt.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.unwrap();
+        let mut answer = [0; 64];
+        let served = first.read(&mut answer).await.unwrap() > 0;
+        let mut more = [0; 64];
+        tokio::select! {
+            read = attempt.read(&mut more) => (served, read.unwrap_or(0) > 0),
+            _ = backend.accept() => (served, true),
+            () = tokio::time::sleep(Duration::from_secs(30)) => (served, false),
+        }
+    };
+    let (served, sent) = with_backend(address, class, 8, std::future::pending(), play).await;
+    assert!(served && !sent, "served {served}, the second sent {sent}");
+}
+
+/// A listener is closed only when nothing waits on it, whatever the runtime has heard of.
+#[tokio::test]
+async fn connections_that_the_system_has_accepted_are_taken_when_the_listener_closes() {
+    let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    // The runtime does not run meanwhile.
+    let clients: Vec<_> = (0..5).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    assert_eq!(server::accepted_by_the_system(listener).len(), clients.len());
+    assert!(std::net::TcpStream::connect(address).is_err(), "it is closed");
+}
+
+// ---- readiness ----
+
+/// A proxy without a list has nothing to serve with, but one that is never ready is a failed start.
+#[tokio::test(start_paused = true)]
+async fn a_proxy_that_hears_of_no_list_is_ready_in_time_to_refuse() {
+    let answers = with_server(8, |address| async move {
+        let mut answers = Vec::new();
+        for _ in 0..2 {
+            answers.push(ask(&mut TcpStream::connect(address).await.unwrap()).await);
+            tokio::time::sleep(Duration::from_secs(8)).await;
+        }
+        answers
+    })
+    .await;
+    assert!(answers[0].contains(" 503 ") && answers[1].contains(" 200 "), "{answers:?}");
+}
