Take no stray bytes for an answer, and send no attempt late or to where its backend was

Seen, each by a test on the code before: a second answer that lay unread on a resting connection was served as the answer to the next request on it; a connection that came up after its backend was listed elsewhere was used at the old address; a repeat of a keyed request whose connection came up past the window was sent all the same.

Change: a connection is asked of the system for unread bytes or an end before it is kept or used again. One that has rested for 50 ms goes before those that have not; after bytes that no one asked for, the tier's connections rest that long for 30 s. A connection to an address that the backend has left is made anew. Attempts of keyed requests carry the end of the window of the first one that may have run, the first attempt too, and are not begun later.

Ruled out: answers without a length that are cut by a reset, an end inside a length or a chunk, and answers that never end are told as resets (`an_answer_that_is_cut_is_never_served_as_whole`, right before).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,8 @@
         backend: BackendId,
         /// When to stop waiting, from now.
         timeout: Time,
+        /// Not to be begun later than this, where its connection comes up late; none: no such bound.
+        send_by: Option<Time>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -650,7 +650,13 @@
         let call = &mut self.calls[slot];
         call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None });
         self.turned_away -= usize::from(std::mem::take(&mut call.turned_away));
-        actions.push(Action::Send { id: call.id, backend: id, timeout: until - now });
+        // The first one too: a copy may run before its connection is up, and it then is the repeat.
+        let first = call.attempts.iter().find(|a| a.may_have_run()).map_or(now, |a| a.sent);
+        let send_by = match self.settings.classes[call.class].effect {
+            Effect::Keyed { window, .. } => Some(first + window),
+            Effect::Safe | Effect::Unsafe => None,
+        };
+        actions.push(Action::Send { id: call.id, backend: id, timeout: until - now, send_by });
         true
     }
 
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,5 +1,6 @@
 //! Connections to backends, attempts on them, and the exact outcome of each.
 
+use super::stream::{Stream, Unread};
 use super::types::{Clock, Payload};
 use crate::{Outcome, Time};
 use bytes::Bytes;
@@ -29,6 +30,12 @@
 /// not run twice would be lost. It goes on a connection that has rested for less than this part of the
 /// shortest rest that one has ended after, or on a new one.
 const ONCE_WITHIN: f64 = 0.5;
+/// A backend that goes wrong may send a second answer some milliseconds behind the first: on a connection that is in
+/// use again by then it would pass for the answer to the next request. One that has rested for so long is used before
+/// those that have not, and alone for a while after such bytes were seen in the tier.
+const LATE_ANSWER: Duration = Duration::from_millis(50);
+/// So long.
+const LATE_ANSWERS_WITHIN: Duration = Duration::from_secs(30);
 /// A connection that ends sooner was closed behind its answer, which says nothing of rests; one that was
 /// in use this recently carries any request.
 const FRESH: Duration = Duration::from_millis(100);
@@ -38,10 +45,11 @@
 pub struct Peer {
     sender: http1::SendRequest<Full<Bytes>>,
     io: Io,
+    stream: Stream,
 }
 
 struct Io {
-    connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    connection: Pin<Box<http1::Connection<TokioIo<Stream>, Full<Bytes>>>>,
     ended: Option<End>,
 }
 
@@ -52,6 +60,8 @@
     Closed,
     /// It broke, as when its machine or process is gone.
     Broken,
+    /// Bytes came on it that no request had asked for.
+    Unasked,
 }
 
 type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
@@ -60,8 +70,9 @@
 pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<Peer> {
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, io) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: None } })
+    let stream = Stream::new(stream);
+    let (sender, io) = http1::handshake(TokioIo::new(stream.clone())).await.map_err(io::Error::other)?;
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: None }, stream })
 }
 
 impl Peer {
@@ -75,9 +86,16 @@
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
-    /// It, if it can carry another request and has not ended meanwhile. Waits for nothing: an
+    /// It, if it can carry another request, has not ended meanwhile and holds no bytes that would be taken for the
+    /// answer to the next one. Waits for nothing, and asks the system, as the runtime may not have heard yet: an
     /// answer that has come must not be held up by its connection.
     pub fn checked(mut self) -> Result<Self, End> {
+        match self.stream.unread() {
+            Unread::Nothing => {}
+            Unread::Bytes => return Err(End::Unasked),
+            Unread::End => return Err(End::Closed),
+            Unread::Broken => return Err(End::Broken),
+        }
         self.io.poll(&mut Context::from_waker(Waker::noop()));
         match self.io.ended {
             None if self.sender.is_ready() => Ok(self),
@@ -118,6 +136,8 @@
     /// The shortest rest that one was seen to last and be closed after: the backends of a tier are
     /// alike, and each proxy uses a connection to most of them seldom.
     shortest_rest: Cell<Duration>,
+    /// When bytes last came that no request had asked for.
+    unasked_at: Cell<Option<Instant>>,
 }
 
 /// A connection's part of the budget.
@@ -126,7 +146,8 @@
 impl Budget {
     /// Room for so many.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { open: Cell::new(0), most, shortest_rest: Cell::new(Duration::MAX) })
+        let shortest_rest = Cell::new(Duration::MAX);
+        Rc::new(Self { open: Cell::new(0), most, shortest_rest, unasked_at: Cell::new(None) })
     }
 
     /// There is room for none.
@@ -141,6 +162,22 @@
         })
     }
 
+    /// Learns from how a connection ended that was last seen up after such a rest.
+    fn ended(&self, end: End, up_after: Duration) {
+        match end {
+            End::Closed if up_after >= FRESH => {
+                self.shortest_rest.set(self.shortest_rest.get().min(up_after));
+            }
+            End::Unasked => self.unasked_at.set(Some(Instant::now())),
+            End::Closed | End::Broken => {}
+        }
+    }
+
+    /// Answers may come twice.
+    fn repeats_answers(&self) -> bool {
+        self.unasked_at.get().is_some_and(|at| at.elapsed() < LATE_ANSWERS_WITHIN)
+    }
+
     /// A connection that may have rested for so long carries what must not run twice.
     fn carries_once(&self, rested: Duration) -> bool {
         rested < FRESH || rested.as_secs_f64() < ONCE_WITHIN * self.shortest_rest.get().as_secs_f64()
@@ -172,10 +209,7 @@
         match peer.checked() {
             Ok(peer) => Some(Self { peer, permit, since, up_after: since.elapsed() }),
             Err(end) => {
-                let Permit(budget) = &permit;
-                if end == End::Closed && up_after >= FRESH {
-                    budget.shortest_rest.set(budget.shortest_rest.get().min(up_after));
-                }
+                permit.0.ended(end, up_after);
                 None
             }
         }
@@ -248,10 +282,10 @@
 
     /// Keeps a connection for a later request, if it is good and none was to be closed since `era`.
     fn keep(&self, peer: Peer, permit: Permit, era: u64) {
-        if let Ok(peer) = peer.checked()
-            && self.era.get() == era
-        {
-            self.idle.borrow_mut().push(Idle::new(peer, permit));
+        match peer.checked() {
+            Ok(peer) if self.era.get() == era => self.idle.borrow_mut().push(Idle::new(peer, permit)),
+            Ok(_) => {}
+            Err(end) => permit.0.ended(end, Duration::ZERO),
         }
     }
 
@@ -259,28 +293,36 @@
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
 
-    /// An idle connection, the one used last, or a new one. `once`: for a request that must not
-    /// run twice.
+    /// The idle connection used last, but one on which a late answer may still come only where none has rested for
+    /// longer. `once`: for a request that must not run twice.
+    fn idle(&self, once: bool) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let carries = |idle: &&Idle| !once || self.budget.carries_once(idle.since.elapsed());
+        let last =
+            |rested: Duration| idle.iter().rposition(|idle| idle.since.elapsed() >= rested && carries(&idle));
+        let fresh = || last(Duration::ZERO).filter(|_| !self.budget.repeats_answers());
+        let at = last(LATE_ANSWER).or_else(fresh)?;
+        Some(idle.remove(at))
+    }
+
+    /// An idle connection or a new one.
     async fn peer(&self, once: bool) -> Option<(Peer, Permit)> {
-        loop {
-            let Some(idle) = self.idle.borrow_mut().pop() else {
-                break;
-            };
-            let rested = idle.since.elapsed();
-            if rested < self.reuse_within
+        while let Some(idle) = self.idle(once) {
+            if idle.since.elapsed() < self.reuse_within
                 && let Some(idle) = idle.still_up()
             {
-                if once && !self.budget.carries_once(rested) {
-                    // Kept for one that may be repeated; the others have rested for longer.
-                    self.idle.borrow_mut().push(idle);
-                    break;
-                }
                 return Some((idle.peer, idle.permit));
             }
         }
         let permit = self.budget.take()?;
-        let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
-        Some((peer, permit))
+        loop {
+            let address = self.address.get();
+            let peer = connect(address, self.connect_timeout).await.ok()?;
+            // It may be listed elsewhere by now, and its old address be another's.
+            if self.address.get() == address {
+                return Some((peer, permit));
+            }
+        }
     }
 }
 
@@ -312,10 +354,19 @@
     endpoint: Rc<Endpoint>,
     payload: Rc<Payload>,
     clock: Clock,
-    until: Time,
+    bounds: Bounds,
     written: Rc<Cell<bool>>,
 ) -> Done {
-    exchange(&endpoint, &clock, &written, &payload, || payload.request(until - clock.now())).await
+    exchange(&endpoint, &clock, &written, &payload, bounds).await
+/// What bounds an attempt in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// It is given up then.
+    pub until: Time,
+    /// It is not begun later than this.
+    pub send_by: Option<Time>,
+}
+
 }
 
 async fn exchange(
@@ -323,15 +374,16 @@
     clock: &Clock,
     written: &Cell<bool>,
     payload: &Payload,
-    request: impl Fn() -> Request<Full<Bytes>>,
+    Bounds { until, send_by }: Bounds,
 ) -> Done {
     let era = endpoint.era.get();
     let (mut peer, permit, answer) = loop {
         let Some((mut peer, permit)) = endpoint.peer(payload.once).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
-        // The request may have had its answer while the connection came up, which then serves another.
-        if payload.over.get() {
+        // The request may have had its answer while the connection came up, or repeats be let run twice by now;
+        // the connection then serves another.
+        if payload.over.get() || send_by.is_some_and(|by| clock.now() >= by) {
             endpoint.keep(peer, permit, era);
             return Done::without_answer(Outcome::NeverSent);
         }
@@ -340,7 +392,7 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
-        match peer.send(request()).await {
+        match peer.send(payload.request(until - clock.now())).await {
             Some(Ok(answer)) => break (peer, permit, answer),
             // Handed back whole: the connection had ended before any of it was written.
             Some(Err(error)) if error.message().is_some() => written.set(false),
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -2,8 +2,8 @@
 //! and their attempts. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
-use super::backend::{self, Budget, Done, Endpoint, Served};
-use super::types::{Clock, ListCall, Listed, News, Payload, Stamp, WireSettings};
+use super::backend::{self, Bounds, Budget, Done, Endpoint, Served};
+use super::types::{Clock, Listed, News, Payload, Stamp, WireSettings};
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Place, Request, RequestId, Rules,
     Settings, Status, Time,
@@ -337,7 +337,9 @@
 
     fn act(&self, state: &mut State, action: Action, now: Time) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
+            Action::Send { id, backend, timeout, send_by } => {
+                self.send(state, id, backend, [timeout, now], send_by);
+            }
             Action::Cancel { id, attempt } => {
                 let done = Done { outcome: Outcome::Cancelled, served: None };
                 self.ended(state, id, attempt, done);
@@ -354,7 +356,14 @@
         }
     }
 
-    fn send(&self, state: &mut State, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
+    fn send(
+        &self,
+        state: &mut State,
+        id: RequestId,
+        backend: BackendId,
+        [timeout, now]: [Time; 2],
+        send_by: Option<Time>,
+    ) {
         let endpoint = state.endpoints.get(&backend).cloned();
         let most = self.max_attempts.get();
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
@@ -378,7 +387,8 @@
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
         let (payload, clock) = (open.payload.clone(), self.clock);
-        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone());
+        let bounds = Bounds { until, send_by };
+        let attempted = backend::attempt(endpoint, payload, clock, bounds, written.clone());
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -423,7 +423,7 @@
 pub fn write_action(out: &mut String, action: &Action) {
     // Writing to a string cannot fail.
     let _ = match action {
-        Action::Send { id, backend, timeout } => {
+        Action::Send { id, backend, timeout, .. } => {
             writeln!(out, "PLACE {:016x} {:.6} {}", id.0, timeout, backend.0)
         }
         Action::Cancel { id, attempt } => writeln!(out, "REVOKE {:016x} {attempt}", id.0),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -188,6 +188,36 @@
     }
 }
 
+#[test]
+fn every_attempt_of_a_keyed_call_is_bounded_by_the_window_of_the_first_that_may_have_run() {
+    let bounds = |actions: &[Action]| -> Vec<Option<Time>> {
+        let bound = |a: &Action| match a {
+            Action::Send { send_by, .. } => Some(*send_by),
+            _ => None,
+        };
+        actions.iter().filter_map(bound).collect()
+    };
+    let keyed = |window| with(Effect::Keyed { group: Group::All, window });
+    let mut b = Bench::new(keyed(0.9), &fleet(4));
+    b.run_to(1.0);
+    // The first one too: its connection may come up when a copy has long run.
+    assert_eq!(bounds(&b.request(1)), [Some(1.9)]);
+    assert_eq!(bounds(&plain(b.run_to(1.6))), [Some(1.9)], "the copy counts from the first");
+    // An attempt that surely never ran counts for nothing.
+    let to = sends(&b.request(2))[0].1;
+    b.end(2, 0, to, Outcome::NoConnection, 0.1);
+    let start = b.now;
+    let again = b.run_to(start + 0.8);
+    let (at, _) = again.iter().find(|(_, a)| matches!(a, Action::Send { id, .. } if id.0 == 2)).unwrap();
+    let bound = bounds(&plain(
+        again.iter().filter(|(_, a)| matches!(a, Action::Send { id, .. } if id.0 == 2)).cloned().collect(),
+    ));
+    assert!((bound[0].unwrap() - at - 0.9).abs() < 1e-9, "{bound:?} at {at}");
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        assert_eq!(bounds(&Bench::new(with(effect), &fleet(4)).request(1)), [None]);
+    }
+}
+
 // ---- exactly one answer ----
 
 #[test]
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -2,7 +2,7 @@
 //! test plays over loopback sockets.
 
 use gannetproxy::Outcome;
-use gannetproxy::proxy::backend::{Budget, Endpoint, attempt};
+use gannetproxy::proxy::backend::{Bounds, Budget, Endpoint, attempt};
 use gannetproxy::proxy::types::{Clock, Payload};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -516,13 +516,16 @@
         };
         let sent = async |once| {
             let payload = payload(once).into();
-            let done = attempt(endpoint.clone(), payload, Clock::start(), 20.0, Default::default()).await;
+            let done = attempt(endpoint.clone(), payload, Clock::start(), BOUNDS, Default::default()).await;
             assert_eq!(done.outcome, Outcome::Served);
             backend.connections.load(Ordering::SeqCst)
         };
         assert_eq!(sent(true).await, 1);
         if let Some(after) = closed_after {
             rest(after).await;
+/// What bounds an attempt that nothing hurries.
+const BOUNDS: Bounds = Bounds { until: 20.0, send_by: None };
+
             close.send(()).unwrap();
             heard(&end);
             tokio::time::sleep(Duration::from_millis(1)).await; // the runtime hears of it
@@ -548,7 +551,7 @@
         let endpoint = Endpoint::new(backend.address, Budget::new(4), LONG, LONG);
         endpoint.update(backend.address, last_send);
         let payload = payload(true);
-        let attempted = attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, Default::default());
+        let attempted = attempt(endpoint.into(), payload.into(), Clock::start(), BOUNDS, Default::default());
         runtime.block_on(attempted).outcome
     };
     assert_eq!(attempt(Some(0.0)), Outcome::NoConnection);
@@ -566,7 +569,7 @@
     let attempt = |over: bool| {
         let payload = payload(false);
         payload.over.set(over);
-        let made = attempt(endpoint.clone(), payload.into(), Clock::start(), 20.0, Default::default());
+        let made = attempt(endpoint.clone(), payload.into(), Clock::start(), BOUNDS, Default::default());
         runtime.block_on(made).outcome
     };
     assert_eq!(attempt(true), Outcome::NeverSent);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -91,7 +91,7 @@
             Action::Release(backend) => {
                 self.unclosed.remove(&backend.0);
             }
-            Action::Send { id, backend, timeout } => {
+            Action::Send { id, backend, timeout, .. } => {
                 let Some(entry) = self.list.get(&backend.0).cloned() else {
                     return self.breach(format!("sent to unknown {backend:?}"));
                 };
@@ -392,7 +392,7 @@
         check.breaches
     };
     let id = RequestId(1);
-    let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5 };
+    let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5, send_by: None };
     assert_eq!(plant(0, &[(0.0, send(1)), (0.5, Action::Refuse { id, retry_after: None })]).len(), 0);
     assert_eq!(plant(0, &[(0.0, send(1))]), ["1 lost"]);
     assert_eq!(plant(0, &[(1.5, Action::Fail { id })]), ["1 answered late"]);
@@ -411,7 +411,7 @@
         check.open.insert(id, Open { class: 1, key: Some(9), deadline: 9.0, tries: vec![], over: false });
     }
     check.action(0.0, &send(1));
-    let second = Action::Send { id: RequestId(2), backend: BackendId(1), timeout: 0.5 };
+    let second = Action::Send { id: RequestId(2), backend: BackendId(1), timeout: 0.5, send_by: None };
     assert_eq!(check.out_of_order(0.1, 2), Some("order: an earlier one is not over"));
     check.action(0.2, &Action::Fail { id });
     assert_eq!(check.out_of_order(0.2, 2), Some("order: an earlier one is not over"));
--- /dev/null
+++ b/tests/upstream.rs
@@ -0,0 +1,238 @@
+//! Attempts on connections to backends, in orders of events that are forced: bytes that come when no one asked, a
+//! backend that moves or drains while its connection comes up, a connection that comes up too late.
+
+use gannetproxy::Outcome;
+use gannetproxy::proxy::backend::{Bounds, Budget, Done, Endpoint, attempt};
+use gannetproxy::proxy::types::{Clock, Payload};
+use std::future::{Future, poll_fn};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::task::Poll;
+use std::time::Duration;
+
+/// Far beyond what any step takes, on a busy machine too.
+const LONG: Duration = Duration::from_secs(30);
+
+fn payload() -> Rc<Payload> {
+    Rc::new(Payload {
+        method: "POST".parse().unwrap(),
+        uri: "/api".parse().unwrap(),
+        headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        body: "body".into(),
+        once: false,
+        over: Default::default(),
+        stamp: None,
+    })
+}
+
+fn endpoint(address: SocketAddr) -> Rc<Endpoint> {
+    Rc::new(Endpoint::new(address, Budget::new(16), LONG, LONG))
+}
+
+async fn send(endpoint: &Rc<Endpoint>, clock: Clock, send_by: Option<f64>) -> Done {
+    let bounds = Bounds { until: 20.0, send_by };
+    attempt(endpoint.clone(), payload(), clock, bounds, Default::default()).await
+}
+
+fn body(done: &Done) -> Option<&[u8]> {
+    done.served.as_ref().map(|served| &*served.body)
+}
+
+fn run<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(future)
+}
+
+/// Polls once, up to where it waits.
+async fn begin(future: &mut Pin<Box<impl Future>>) {
+    poll_fn(|cx| {
+        assert!(future.as_mut().poll(cx).is_pending());
+        Poll::Ready(())
+    })
+    .await;
+}
+
+/// Reads one request whole; None at the connection's end.
+fn read_request(stream: &mut TcpStream) -> Option<()> {
+    let (mut got, mut piece) = (Vec::new(), [0; 1024]);
+    while !got.ends_with(b"\r\n\r\nbody") {
+        match stream.read(&mut piece) {
+            Ok(read @ 1..) => got.extend_from_slice(&piece[..read]),
+            _ => return None,
+        }
+    }
+    Some(())
+}
+
+fn answer(text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
+/// A backend that answers with the number of the connection. On the first one a second answer follows the first, once
+/// told; then it tells.
+fn repeats_its_first_answer() -> (SocketAddr, Sender<()>, Receiver<()>, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let ((go, told), (done, ended), (count, counted)) = (channel(), channel(), channel());
+    std::thread::spawn(move || {
+        let mut told = Some(told);
+        for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let _ = count.send(number + 1);
+            let (mut stream, told, done) = (stream, told.take(), done.clone());
+            std::thread::spawn(move || {
+                while read_request(&mut stream).is_some() {
+                    stream.write_all(answer(&number.to_string()).as_bytes()).unwrap();
+                    if let Some(told) = &told
+                        && told.recv_timeout(LONG).is_ok()
+                    {
+                        stream.write_all(answer("of no request").as_bytes()).unwrap();
+                        done.send(()).unwrap();
+                    }
+                }
+            });
+        }
+    });
+    (address, go, ended, counted)
+}
+
+/// What lies unread on a resting connection must not be read as the answer to the next request, though the runtime
+/// has not heard of it: that request would be served with what no backend made for it.
+#[test]
+fn a_second_answer_is_never_taken_for_the_next_requests() {
+    let (address, go, ended, connections) = repeats_its_first_answer();
+    let (endpoint, clock) = (endpoint(address), Clock::start());
+    run(async {
+        assert_eq!(body(&send(&endpoint, clock, None).await), Some(b"0".as_slice()));
+        // The runtime does not run meanwhile.
+        go.send(()).unwrap();
+        ended.recv_timeout(LONG).unwrap();
+        assert_eq!(body(&send(&endpoint, clock, None).await), Some(b"1".as_slice()));
+        // Once that was seen, a connection rests for as long as such an answer may still come on it.
+        assert_eq!(body(&send(&endpoint, clock, None).await), Some(b"2".as_slice()));
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        assert_eq!(body(&send(&endpoint, clock, None).await), Some(b"2".as_slice()), "used again");
+    });
+    assert_eq!(connections.try_iter().last(), Some(3));
+}
+
+/// A backend that answers each request with its name, and tells of each.
+fn named(name: &'static str) -> (SocketAddr, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, told) = channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                while read_request(&mut stream).is_some() {
+                    let _ = tell.send(());
+                    stream.write_all(answer(name).as_bytes()).unwrap();
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+/// The old address may be another's by the time the connection is up.
+#[test]
+fn a_backend_that_moves_while_its_connection_comes_up_is_sent_to_where_it_now_is() {
+    let ((old, at_old), (new, _)) = (named("old"), named("new"));
+    let endpoint = endpoint(old);
+    run(async {
+        let mut made = Box::pin(send(&endpoint, Clock::start(), None));
+        begin(&mut made).await;
+        endpoint.update(new, None);
+        assert_eq!(body(&made.await), Some(b"new".as_slice()));
+    });
+    assert!(at_old.try_recv().is_err(), "nothing went to the old address");
+}
+
+/// News of a drain that comes while the connection does ends the attempt past its grace.
+#[tokio::test(start_paused = true)]
+async fn a_backend_that_drains_while_its_connection_comes_up_is_not_sent_to_past_the_grace() {
+    let (address, at) = named("it");
+    let (endpoint, clock) = (endpoint(address), Clock::start());
+    let mut made = Box::pin(send(&endpoint, clock, None));
+    begin(&mut made).await;
+    endpoint.update(address, Some(0.25));
+    tokio::time::advance(Duration::from_millis(300)).await;
+    assert_eq!(made.await.outcome, Outcome::NoConnection);
+    assert!(at.try_recv().is_err());
+}
+
+/// A repeat of a keyed request is safe only within its window, the time of its connection included.
+#[tokio::test(start_paused = true)]
+async fn a_repeat_whose_connection_comes_up_past_its_window_is_never_sent() {
+    for (up_after, outcome) in [(200, Outcome::Served), (400, Outcome::NeverSent)] {
+        let (address, at) = named("it");
+        let (endpoint, clock) = (endpoint(address), Clock::start());
+        let mut made = Box::pin(send(&endpoint, clock, Some(0.3)));
+        begin(&mut made).await;
+        tokio::time::advance(Duration::from_millis(up_after)).await;
+        assert_eq!(made.await.outcome, outcome, "up after {up_after} ms");
+        assert_eq!(at.try_recv().is_ok(), outcome == Outcome::Served);
+    }
+}
+
+/// A request that is over while the connection comes up is never sent; the connection serves the next one.
+#[tokio::test]
+async fn a_request_that_ends_while_its_connection_comes_up_is_never_sent() {
+    let (address, at) = named("it");
+    let (endpoint, clock, payload) = (endpoint(address), Clock::start(), payload());
+    let bounds = Bounds { until: 20.0, send_by: None };
+    let made = attempt(endpoint.clone(), payload.clone(), clock, bounds, Default::default());
+    let mut made = Box::pin(made);
+    begin(&mut made).await;
+    payload.over.set(true);
+    assert_eq!(made.await.outcome, Outcome::NeverSent);
+    assert!(at.try_recv().is_err());
+    assert_eq!(send(&endpoint, clock, None).await.outcome, Outcome::Served);
+}
+
+/// How a backend ends an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cut {
+    End,
+    Reset,
+    Never,
+}
+
+/// Without a length an answer is whole at the connection's end; a reset is no end.
+#[test]
+fn an_answer_that_is_cut_is_never_served_as_whole() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    for (text, cut, outcome) in [
+        (format!("{head}\r\nhalf"), Cut::End, Outcome::Served),
+        (format!("{head}\r\nhalf"), Cut::Reset, Outcome::Reset),
+        (format!("{head}Connection: close\r\n\r\nhalf"), Cut::Reset, Outcome::Reset),
+        (format!("{head}Content-Length: 9\r\n\r\nhalf"), Cut::End, Outcome::Reset),
+        (format!("{head}Content-Length: 9\r\n\r\nhalf"), Cut::Reset, Outcome::Reset),
+        (format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), Cut::End, Outcome::Reset),
+        (head.to_string(), Cut::End, Outcome::Reset),
+        (format!("{head}\r\n"), Cut::Never, Outcome::Reset),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let told = text.clone();
+        let served = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            read_request(&mut stream).unwrap();
+            stream.write_all(told.as_bytes()).unwrap();
+            match cut {
+                Cut::End => stream.shutdown(Shutdown::Both).unwrap(),
+                Cut::Reset => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
+                Cut::Never => while stream.write_all(&[b'x'; 4096]).is_ok() {},
+            }
+        });
+        let done = run(async {
+            let done = send(&endpoint(address), Clock::start(), None).await;
+            (done.outcome, done.served.map(|served| served.body))
+        });
+        served.join().unwrap();
+        assert_eq!(done.0, outcome, "{text:?} {cut:?}");
+        assert_eq!(done.1.is_some(), outcome == Outcome::Served, "{text:?} {cut:?}");
+    }
+}
