Hear of every change within 6 s whatever calls fail, and forget backends that are gone

A proxy that heard of no list was never ready. Names, endpoints and backends were kept for ever.

Change: behind a failed call the next one asks for a short wait and is given up early; waits are bounded by the chain they belong to, which the constants state; a round over all nodes comes before the module is told of a failure; SIGHUP ends a wait that was meant for the old address. `fetch` and ending a watch, which no one asked for, are gone, and with them the crossings of two calls or two loops: one call is out at a time. A proxy is ready once discovery has told it a list, though nothing is in service, or 5 s after its start. Backends off the list are forgotten, by the sockets' side once nothing is out there, by the module when nothing known of them counts any more; their numbers come from their names.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -377,10 +377,8 @@
     },
     /// Close the idle connections to a backend.
     Release(BackendId),
-    /// Ask to be told of changes to the list, or no longer.
-    Watch(bool),
-    /// Ask for the whole list once.
-    Fetch,
+    /// Ask to be told of changes to the list.
+    Watch,
     /// A line for the operator's log.
     Log(String),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,6 +72,12 @@
 const AWAY_LOAD: f64 = 40.0;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
+/// Where the list must be asked for, what discovery has counts as told 6 s after it can be reached, whatever
+/// calls failed. A call that is not answered is given up after 2.6 s, behind a failure or at the start after
+/// 1.5 s; the longest wait before the first call, and the means of those after failures, leave room for two
+/// such calls and an answer, at the start for one.
+const FIRST_ASK: Time = 2.3;
+const ASK_AGAIN: [Time; 2] = [0.3, 0.7];
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -148,6 +154,8 @@
     answered_at: Time,
     /// What may be sent to it while it is cold, in requests.
     cold: Bucket,
+    /// When it was last heard to be gone.
+    gone_at: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -249,6 +257,8 @@
     orphans: HashMap<(RequestId, usize), u64>,
     backends: Vec<Backend>,
     by_backend: HashMap<BackendId, usize>,
+    /// Places in `backends` of those that are gone and forgotten, for others.
+    vacant: Vec<usize>,
     /// Backends in service, by index.
     listed: Vec<usize>,
     /// The same by zone and by cell, for repeats of keyed requests.
@@ -300,6 +310,7 @@
             orphans: HashMap::new(),
             backends: Vec::new(),
             by_backend: HashMap::new(),
+            vacant: Vec::new(),
             listed: Vec::new(),
             groups: HashMap::new(),
             subset: Vec::new(),
@@ -316,7 +327,7 @@
             memory: RATE_MEMORY * T1_REACH * longest,
             grown: 0,
             watch_asked: false,
-            watch_wait: settings.ask_within / 10.0,
+            watch_wait: ASK_AGAIN[0].min(settings.ask_within / 10.0),
             settings,
         }
     }
@@ -326,13 +337,18 @@
         self.by_id.len()
     }
 
+    /// Backends that something is kept of.
+    pub fn known_backends(&self) -> usize {
+        self.by_backend.len()
+    }
+
     /// Decides what to do about `event`, which happens at `now`.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if self.settings.must_watch && !self.watch_asked {
             // Balancers often start together: they ask for the list one after another.
             self.watch_asked = true;
-            let wait = self.rng.random::<f64>() * 0.5 * self.settings.ask_within;
+            let wait = self.rng.random::<f64>() * FIRST_ASK.min(0.5 * self.settings.ask_within);
             actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
         }
         match event {
@@ -340,7 +356,7 @@
             Event::Started { id, attempt } => self.end(id, Some(attempt), actions),
             Event::Outcome(ended) => self.ended(ended, actions),
             Event::ClientLeft(id) => self.end(id, None, actions),
-            Event::Timer(LIST_TOKEN) => actions.push(Action::Watch(true)),
+            Event::Timer(LIST_TOKEN) => actions.push(Action::Watch),
             Event::Timer(token) => self.timer(token, actions),
             Event::List(update) => self.list(update, actions),
             Event::Rules(rules, place) => self.go_by(rules, place),
@@ -903,41 +919,70 @@
             ListUpdate::Refused => {
                 // Asked again later and later, and not all at once: what failed may be busy.
                 let wait = self.watch_wait * (0.5 + self.rng.random::<f64>());
-                self.watch_wait = (2.0 * self.watch_wait).min(self.settings.ask_within);
+                self.watch_wait = (2.0 * self.watch_wait).min(ASK_AGAIN[1]);
                 actions.push(Action::Timer { at: self.now + wait, token: LIST_TOKEN });
                 return;
             }
             ListUpdate::Full(entries) | ListUpdate::Remembered(entries) => {
-                self.backends.iter_mut().for_each(|b| b.entry.status = Status::Gone);
+                let now = self.now;
+                for b in self.backends.iter_mut().filter(|b| b.entry.status != Status::Gone) {
+                    (b.entry.status, b.gone_at) = (Status::Gone, now);
+                }
                 entries.iter().for_each(|e| self.take_in(e, actions));
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
-        self.watch_wait = self.settings.ask_within / 10.0;
+        self.watch_wait = ASK_AGAIN[0].min(self.settings.ask_within / 10.0);
+        self.forget();
         self.relist();
     }
 
     fn take_in(&mut self, entry: &Entry, actions: &mut Vec<Action>) {
         let fresh = Bucket { room: 0.0, at: self.now };
-        let known = *self.by_backend.entry(entry.id).or_insert(self.backends.len());
-        if known == self.backends.len() {
-            self.backends.push(Backend {
+        let known = self.by_backend.get(&entry.id).copied().unwrap_or_else(|| {
+            let backend = Backend {
                 entry: entry.clone(),
                 in_flight: 0,
                 slowness: 1.0,
                 slowness_at: f64::NEG_INFINITY,
                 answered_at: f64::NEG_INFINITY,
                 cold: fresh,
-            });
-        }
+                gone_at: self.now,
+            };
+            let place = self.vacant.pop().unwrap_or(self.backends.len());
+            match self.backends.get_mut(place) {
+                Some(vacant) => *vacant = backend,
+                None => self.backends.push(backend),
+            }
+            self.by_backend.insert(entry.id, place);
+            place
+        });
         let b = &mut self.backends[known];
         if b.entry.started != entry.started {
             (b.slowness_at, b.cold) = (f64::NEG_INFINITY, fresh);
         }
+        if entry.status == Status::Gone && b.entry.status != Status::Gone {
+            b.gone_at = self.now;
+        }
         b.entry = entry.clone();
         self.release_if_draining(known, actions);
     }
 
+    /// Forgets backends that have been off the list for so long that nothing known of them counts any more.
+    fn forget(&mut self) {
+        let (backends, by_backend, vacant) = (&self.backends, &mut self.by_backend, &mut self.vacant);
+        let since = self.now - self.memory;
+        by_backend.retain(|_, place| {
+            let b = &backends[*place];
+            let kept = b.entry.status != Status::Gone || b.in_flight > 0 || b.gone_at > since;
+            if !kept {
+                vacant.push(*place);
+            }
+            kept
+        });
+        vacant.sort_unstable(); // whatever the map's order was
+    }
+
     /// Members wanted: enough to cover all backends, and more for more calls in flight.
     fn subset_size(&mut self) -> usize {
         if self.sent.span > 0.5 * self.memory {
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -222,6 +222,8 @@
     idle: RefCell<Vec<Idle>>,
     /// Set while it drains or is gone.
     last_send: Cell<Option<Time>>,
+    /// It is off the list.
+    gone: Cell<bool>,
     /// Goes up when its connections are no longer to be kept.
     era: Cell<u64>,
     budget: Rc<Budget>,
@@ -236,6 +238,7 @@
             address: Cell::new(address),
             idle: RefCell::default(),
             last_send: Cell::new(None),
+            gone: Cell::new(false),
             era: Cell::new(0),
             budget,
             connect_timeout,
@@ -251,11 +254,18 @@
         // Hearing of the same drain again doesn't extend the grace.
         let earlier = self.last_send.get().filter(|_| last_send.is_some());
         self.last_send.set(earlier.or(last_send));
+        self.gone.set(false);
     }
 
     /// It is gone from the list: sends must end by `last_send`.
     pub fn end(&self, last_send: Time) {
         self.update(self.address.get(), Some(last_send));
+        self.gone.set(true);
+    }
+
+    /// It is off the list, and no attempt there has its outcome to come.
+    pub fn is_done(self: &Rc<Self>) -> bool {
+        self.gone.get() && Rc::strong_count(self) == 1
     }
 
     /// Closes the idle connections, and those in use once they become idle.
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -4,7 +4,7 @@
 use super::engine::Engine;
 use super::listcache::{self, ListCache};
 use super::lists::{Lifecycle, RawEntry, RawList};
-use super::types::{Clock, ListCall, Listed, News, WireSettings, zone_index};
+use super::types::{Clock, Listed, News, WireSettings, zone_index};
 use crate::{BackendId, Entry, Settings, Status, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,15 +21,28 @@
 
 /// Longest wait for news that a watch call asks for. What discovery has to tell counts as told 2 s after
 /// that wait, and 6 s after it came up, arrived or not: a watch that falls silent, or a list that stops
-/// short, must show early enough for a further call, which may meet with the same.
+/// short, must show early enough for further calls, which may meet with the same.
 const MOST_WATCH: Duration = Duration::from_secs(2);
 /// How much longer than that an answer may take to begin, and then to come whole: discovery is near.
 const PATIENCE: Duration = Duration::from_millis(600);
+/// The wait that a call asks for behind one that failed: it finds out whether anyone answers, and asks for what
+/// there is.
+const SHORT_WATCH: Duration = Duration::from_millis(100);
+/// How much longer than that it may take where there are further nodes to ask,
+const NODE_PATIENCE: Duration = Duration::from_millis(300);
+/// and where the list must be asked for, of one service for all proxies, in which calls wait in turn.
+const TURN_PATIENCE: Duration = Duration::from_millis(1400);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
-/// The same where discovery has several addresses: each wait is drawn from the whole backoff ("full jitter"), so
-/// that proxies that lost the same node come to the next one spread over the first 300 ms, not together.
-const SPREAD: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(1)];
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+/// Where discovery has several addresses, the wait is drawn ("full jitter") from up to this after the first failure,
+/// so that proxies that lost the same node come to the next one spread out, not together,
+const LEAVING: Duration = Duration::from_millis(300);
+/// up to this on the way round the others,
+const NEXT_NODE: Duration = Duration::from_millis(150);
+/// and up to this where none of them answered. With `MOST_DISCOVERY` nodes, all but one of which take calls and say
+/// nothing, a change is heard of within 2.6 + 0.3 + 5 x (0.4 + 0.15) s of their falling silent, and within
+/// 2 + 6 x (0.4 + 0.15) s of the one's coming back.
+const NEXT_ROUND: Duration = Duration::from_secs(2);
 /// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
 /// memory, of the 32 MB that a proxy may have.
 const MOST_BYTES: usize = 1 << 20;
@@ -60,6 +73,8 @@
     zones: Vec<String>,
     ids: HashMap<String, BackendId>,
     taken: HashMap<BackendId, String>,
+    /// Two names came to one number, and who has which depends on all that were ever listed: none is forgotten.
+    collided: bool,
 }
 
 impl Translation {
@@ -71,13 +86,21 @@
         let mut id = BackendId(number_of(name));
         while self.taken.contains_key(&id) {
             id = BackendId(id.0.wrapping_add(1));
+            self.collided = true;
         }
         self.taken.insert(id, name.to_string());
         self.ids.insert(name.to_string(), id);
         id
     }
 
-    fn list(&mut self, raw: Vec<RawEntry>, clock: &Clock) -> Vec<Listed> {
+    fn list(&mut self, RawList { instances: raw, reset, .. }: RawList, clock: &Clock) -> Vec<Listed> {
+        let gone: Vec<String> = match reset {
+            true => {
+                let named: HashSet<&String> = raw.iter().map(|entry| &entry.instance_id).collect();
+                self.ids.keys().filter(|name| !named.contains(name)).cloned().collect()
+            }
+            false => raw.iter().filter(|e| e.is_gone()).map(|e| e.instance_id.clone()).collect(),
+        };
         let listed = |raw: RawEntry| Listed {
             entry: Entry {
                 id: self.id(&raw.instance_id),
@@ -94,7 +117,12 @@
             },
             address: raw.host_port,
         };
-        raw.into_iter().map(listed).collect()
+        let listed = raw.into_iter().map(listed).collect();
+        if !self.collided {
+            // Listed again, a name has the same number again.
+            gone.iter().filter_map(|name| self.ids.remove(name)).for_each(|id| drop(self.taken.remove(&id)));
+        }
+        listed
     }
 }
 
@@ -105,8 +133,12 @@
 ///
 /// With one address, as the bench gives it, that agent is asked and asked again. With several, the nodes of
 /// one list service, it begins at one drawn by its seed, so that the proxies share out over the nodes, and a call
-/// that fails moves on to the next after a jittered backoff (`SPREAD`); a whole list older than the one known is refused there, since all nodes count one
-/// revision and a node that is behind must not take the proxy back. While none answers, the last list holds.
+/// that fails moves on to the next after a jittered wait; a whole list older than the one known is refused there, since
+/// all nodes count one revision and a node that is behind must not take the proxy back. While none answers, the last
+/// list holds.
+///
+/// One call is out at a time, so that no answer can overtake a newer one: a watch begins only where none is on, and
+/// a call that is out when the address moves is dropped.
 pub struct Discovery {
     addresses: RefCell<Vec<SocketAddr>>,
     /// The place in `addresses` of the one asked now.
@@ -140,7 +172,7 @@
         engine: Rc<Engine>,
     ) -> Rc<Self> {
         let zones = wire.zones.clone();
-        let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
+        let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new(), collided: false };
         let seed = addresses
             .iter()
             .fold(u64::from(settings.me as u32), |h, a| h.rotate_left(7) ^ number_of(&a.to_string()) as u64);
@@ -164,25 +196,22 @@
             tokio::task::spawn_local(listcache::keep(cache));
         }
         let asked = Rc::downgrade(&discovery);
-        discovery.engine.set_discovery(move |call| {
+        discovery.engine.set_discovery(move || {
             if let Some(discovery) = asked.upgrade() {
-                match call {
-                    ListCall::Watch(on) => discovery.watch(on),
-                    ListCall::Fetch => discovery.fetch(),
-                }
+                discovery.watch();
             }
         });
-        let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
+        let listed = discovery.names.borrow_mut().list(known, discovery.engine.clock());
         discovery.engine.news(News::Remembered(listed));
         if !settings.must_watch {
-            discovery.watch(true);
+            discovery.watch();
         }
         discovery
     }
 
     /// Discovery is at `addresses` from now on. A call that is out is made again there: the old
     /// address may have nothing more to tell.
-    pub fn move_to(&self, addresses: Vec<SocketAddr>) {
+    pub fn move_to(self: &Rc<Self>, addresses: Vec<SocketAddr>) {
         if self.addresses.replace(addresses.clone()) != addresses {
             self.current.set(0);
             self.moved.notify_one();
@@ -199,7 +228,10 @@
     pub fn ask_elsewhere(&self) {
         if self.several() {
             self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
-            self.moved.notify_one();
+            match self.watching.get() {
+                true => self.moved.notify_one(),
+                false => self.watch(), // whatever wait is on was meant for the old address
+            }
         }
     }
 
@@ -214,102 +246,95 @@
         self.addresses.borrow().len() > 1
     }
 
-    /// After a failed call: on to the next node, and the wait before asking it.
-    fn fail_over(&self, backoff: Duration) -> Duration {
-        if !self.several() {
-            return backoff;
-        }
-        self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
-        backoff.mul_f64(self.jitter.borrow_mut().random_range(0.0..=1.0))
+    /// The wait after so many failed calls in a row.
+    fn backoff(&self, failures: usize) -> Duration {
+        let most = match failures {
+            _ if !self.several() => return (BACKOFF[0] * (1 << (failures - 1).min(8))).min(BACKOFF[1]),
+            _ if self.round_is_over(failures) => NEXT_ROUND,
+            1 => LEAVING,
+            _ => NEXT_NODE,
+        };
+        most.mul_f64(self.jitter.borrow_mut().random_range(0.0..=1.0))
     }
 
-    /// Bounds of the wait after a call that failed.
-    fn backoffs(&self) -> [Duration; 2] {
-        if self.several() { SPREAD } else { BACKOFF }
+    /// So many failed calls in a row have met with every node.
+    fn round_is_over(&self, failures: usize) -> bool {
+        failures.is_multiple_of(self.addresses.borrow().len().max(1))
     }
 
-    /// Begins a watch, if none is on, or ends it.
-    pub fn watch(self: &Rc<Self>, on: bool) {
-        if on && !self.watching.replace(true) {
+    /// Begins a watch, if none is on.
+    pub fn watch(self: &Rc<Self>) {
+        if !self.watching.replace(true) {
             let this = self.clone();
             tokio::task::spawn_local(async move { this.watch_loop().await });
-        } else if !on {
-            self.watching.set(false);
         }
     }
 
-    /// Asks for the whole list once.
-    pub fn fetch(self: &Rc<Self>) {
-        let this = self.clone();
-        tokio::task::spawn_local(async move {
-            let answer = this.call("/api/targets", PATIENCE, &mut None).await;
-            this.take(answer);
-        });
-    }
-
     /// One call after another: a gap between them would end the watch. Where lists are pushed,
     /// a call that failed is made again after a while; where they must be asked for, the module
-    /// is told and says when.
+    /// is told once no node has answered, and says when.
     async fn watch_loop(self: Rc<Self>) {
         let mut peer = None;
-        let mut backoff = self.backoffs()[0];
-        while self.watching.get() {
-            let (since, wait) = (self.generation.get(), self.wait.as_millis());
-            let path = format!("/api/targets?since={since}&timeout_ms={wait}");
+        // Calls in a row that brought nothing. At first, after a failure, and where discovery has moved, no one
+        // knows yet whether it answers.
+        let mut failures = 0;
+        let mut unheard = true;
+        loop {
+            let [wait, patience] = match (unheard || failures > 0, self.several(), self.asked) {
+                (false, ..) => [self.wait, PATIENCE],
+                (true, true, _) => [SHORT_WATCH.min(self.wait), NODE_PATIENCE],
+                (true, false, true) => [SHORT_WATCH.min(self.wait), TURN_PATIENCE],
+                (true, false, false) => [SHORT_WATCH.min(self.wait), PATIENCE],
+            };
+            let path =
+                format!("/api/targets?since={}&timeout_ms={}", self.generation.get(), wait.as_millis());
             let answer = tokio::select! {
                 biased; // an answer that has come is taken in
-                answer = self.call(&path, self.wait + PATIENCE, &mut peer) => answer,
+                answer = self.call(&path, wait + patience, &mut peer) => answer,
                 () = self.moved.notified() => {
-                    (peer, backoff) = (None, self.backoffs()[0]);
+                    (peer, failures, unheard) = (None, 0, true);
                     continue;
                 }
             };
-            if !self.watching.get() {
-                return;
+            let error = match answer {
+                Ok(list) => {
+                    (failures, unheard) = (0, false);
+                    self.take(list);
+                    continue;
+                }
+                Err(error) => error,
+            };
+            eprintln!("discovery: {error}");
+            failures += 1;
+            if self.several() {
+                // Another node is asked on a new connection.
+                self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
+                peer = None;
             }
-            let good = answer.is_ok();
-            if !good && self.asked {
+            if self.asked && self.round_is_over(failures) {
                 // Over before the module is told: its next call begins a watch of its own.
                 self.watching.set(false);
-                return self.take(answer);
+                return self.engine.news(News::Refused);
             }
-            self.take(answer);
-            if good {
-                backoff = self.backoffs()[0];
-            } else {
-                // Another node is asked on a new connection.
-                peer = if self.several() { None } else { peer };
-                let wait = self.fail_over(backoff);
-                tokio::select! {
-                    () = tokio::time::sleep(wait) => {}
-                    () = self.moved.notified() => backoff = self.backoffs()[0],
-                }
-                backoff = (2 * backoff).min(self.backoffs()[1]);
+            tokio::select! {
+                () = tokio::time::sleep(self.backoff(failures)) => {}
+                () = self.moved.notified() => (peer, failures, unheard) = (None, 0, true),
             }
         }
     }
 
-    /// Takes in an answer; the last list is kept if there is none that makes sense.
-    fn take(&self, answer: Result<RawList, CallError>) {
-        match answer {
-            Ok(list) => {
-                self.generation.set(list.generation);
-                if let Some(cache) = &self.cache {
-                    cache.borrow_mut().take(&list);
-                }
-                let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
-                let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
-                self.engine.news(news);
-                if let Some(told) = self.on_list.borrow().as_ref() {
-                    told(self.generation.get());
-                }
-            }
-            Err(error) => {
-                eprintln!("discovery: {error}");
-                if self.asked {
-                    self.engine.news(News::Refused);
-                }
-            }
+    /// Takes in an answer; the last list is kept where there is none that makes sense.
+    fn take(&self, list: RawList) {
+        self.generation.set(list.generation);
+        if let Some(cache) = &self.cache {
+            cache.borrow_mut().take(&list);
+        }
+        let whole = list.reset;
+        let listed = self.names.borrow_mut().list(list, self.engine.clock());
+        let news = if whole { News::Full(listed) } else { News::Changes(listed) };
+        self.engine.news(news);
+        if let Some(told) = self.on_list.borrow().as_ref() {
+            told(self.generation.get());
         }
     }
 
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderMap;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -24,6 +24,8 @@
 const MOST_LAG: Time = 0.1;
 /// Part of the grace of a drain after which a send that was decided before is not made.
 const GRACE_USED: f64 = 0.5;
+/// So long after the start a proxy that has heard of no list is put to use all the same, in seconds.
+const UNLISTED: Time = 5.0;
 /// How often idle connections are looked through: how long they last is known as exactly.
 const SWEEP: Duration = Duration::from_millis(100);
 
@@ -94,8 +96,8 @@
     endpoints: HashMap<BackendId, Rc<Endpoint>>,
 }
 
-/// Makes a call for the list.
-type AskForList = Box<dyn Fn(ListCall)>;
+/// Begins a watch of the list.
+type WatchList = Box<dyn Fn()>;
 
 /// Drives the module.
 pub struct Engine {
@@ -106,7 +108,7 @@
     /// How late timers have fired of late: as long may a request have waited to be read.
     lag: Cell<Time>,
     listed: Cell<bool>,
-    discovery: RefCell<Option<AskForList>>,
+    discovery: RefCell<Option<WatchList>>,
     /// Asked before every decision, where rules may run out.
     guard: RefCell<Option<Box<dyn Fn()>>>,
     /// What goes on every attempt.
@@ -160,14 +162,8 @@
     }
 
     /// Whom to ask for the list.
-    pub fn set_discovery(&self, ask: impl Fn(ListCall) + 'static) {
-        *self.discovery.borrow_mut() = Some(Box::new(ask));
-    }
-
-    fn ask_for_list(&self, call: ListCall) {
-        if let Some(ask) = self.discovery.borrow().as_ref() {
-            ask(call);
-        }
+    pub fn set_discovery(&self, watch: impl Fn() + 'static) {
+        *self.discovery.borrow_mut() = Some(Box::new(watch));
     }
 
     /// Has `guard` run before every decision: rules that have run out must not be decided by.
@@ -196,9 +192,16 @@
         self.state.borrow_mut()
     }
 
-    /// There is a list to go by.
+    /// There is a list to go by, or none to wait for any longer: discovery may be down, and clients are better refused
+    /// by a proxy that runs than held off by one that never does.
     pub fn listed(&self) -> bool {
-        self.listed.get()
+        self.listed.get() || self.clock.now() >= UNLISTED
+    }
+
+    /// Backends that something is kept of, by the sockets' side and by the module.
+    pub fn known_backends(&self) -> [usize; 2] {
+        let state = self.state.borrow();
+        [state.endpoints.len(), state.balancer.known_backends()]
     }
 
     /// There are requests without a final answer.
@@ -247,7 +250,8 @@
         let now = self.clock.now();
         let listed: &[Listed] = match &news {
             News::Full(list) | News::Remembered(list) => {
-                let gone = |id: &BackendId| !list.iter().any(|l| l.entry.id == *id);
+                let ids: HashSet<BackendId> = list.iter().map(|l| l.entry.id).collect();
+                let gone = |id: &BackendId| !ids.contains(id);
                 for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
                     endpoint.end(now + GRACE_USED * self.drain_grace);
                 }
@@ -263,9 +267,17 @@
                 let budget = self.budget.clone();
                 Rc::new(Endpoint::new(*address, budget, self.connect_timeout, self.idle_close))
             };
-            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, last_send);
+            let endpoint = state.endpoints.entry(entry.id).or_insert_with(new);
+            endpoint.update(*address, last_send);
+            if let (Status::Gone, Some(last_send)) = (entry.status, last_send) {
+                endpoint.end(last_send);
+            }
         }
-        self.listed.set(self.listed.get() || listed.iter().any(|l| l.entry.status == Status::InService));
+        state.endpoints.retain(|_, endpoint| !endpoint.is_done());
+        // A list that discovery told is one to go by, though no backend may be in service.
+        let told = matches!(&news, News::Full(_) | News::Changes(_));
+        let serving = listed.iter().any(|l| l.entry.status == Status::InService);
+        self.listed.set(self.listed.get() || told || serving);
         state.told.push_back(Told::List(news));
         self.decide(state);
     }
@@ -350,8 +362,7 @@
             Action::Release(backend) => {
                 state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
             }
-            Action::Watch(on) => self.ask_for_list(ListCall::Watch(on)),
-            Action::Fetch => self.ask_for_list(ListCall::Fetch),
+            Action::Watch => self.discovery.borrow().iter().for_each(|watch| watch()),
             Action::Log(text) => eprintln!("{text}"),
         }
     }
--- a/src/proxy/types.rs
+++ b/src/proxy/types.rs
@@ -120,15 +120,6 @@
     pub address: SocketAddr,
 }
 
-/// What the module asks of discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListCall {
-    /// Begin a watch, if none is on, or end it.
-    Watch(bool),
-    /// The whole list once.
-    Fetch,
-}
-
 /// The number of a zone, added if it is new.
 pub fn zone_index(zones: &mut Vec<String>, name: &str) -> u32 {
     let known = zones.iter().position(|z| z == name);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -434,8 +434,7 @@
         Action::Fail { id } => writeln!(out, "ERROR {:016x}", id.0),
         Action::Timer { at, token } => writeln!(out, "SLEEP {at:.6} {token}"),
         Action::Release(backend) => writeln!(out, "RELEASE {}", backend.0),
-        Action::Watch(on) => writeln!(out, "STREAM_CHANGES {}", u8::from(*on)),
-        Action::Fetch => writeln!(out, "REFRESH"),
+        Action::Watch => writeln!(out, "STREAM_CHANGES 1"),
         Action::Log(text) => writeln!(out, "EMIT {}", text.replace(['\n', '\r'], " ")),
     };
 }
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,313 @@
+//! How soon the proxy hears of what discovery has, whatever calls fail, on loopback sockets and in paused time:
+//! waits take none, and how long they would have taken is exact.
+
+use gannetproxy::proxy::discovery::Discovery;
+use gannetproxy::proxy::engine::Engine;
+use gannetproxy::proxy::types::{Listed, News, WireSettings};
+use gannetproxy::{BackendId, Class, Entry, Settings, Status};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// What discovery has counts as told so long after it could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// The same from SIGHUP on, where discovery has moved.
+const MOVED: Duration = Duration::from_secs(4);
+
+/// What a node does with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Call {
+    /// Answers with the list: at once where it is newer than the proxy's, else when the proxy's wait is over.
+    List,
+    /// Takes it and says nothing.
+    Silence,
+    /// Ends the connection.
+    End,
+    /// Answers 503.
+    Refuse,
+    /// Stops in the middle of the list.
+    Short,
+}
+
+/// A discovery of one node or several, with one list.
+struct Nodes {
+    addresses: Vec<SocketAddr>,
+    plays: Vec<Cell<Call>>,
+    /// What the next calls meet with, whichever node they come to, before `plays` holds.
+    next: RefCell<Vec<Call>>,
+    generation: Cell<u64>,
+    /// The node that was called last, and how many calls there were.
+    last: Cell<usize>,
+    calls: Cell<usize>,
+}
+
+impl Nodes {
+    async fn start(count: usize) -> Rc<Self> {
+        let mut listeners = Vec::new();
+        for _ in 0..count {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let nodes = Rc::new(Self {
+            addresses: listeners.iter().map(|l| l.local_addr().unwrap()).collect(),
+            plays: vec![Cell::new(Call::List); count],
+            next: RefCell::default(),
+            generation: Cell::new(1),
+            last: Cell::new(0),
+            calls: Cell::new(0),
+        });
+        for (number, listener) in listeners.into_iter().enumerate() {
+            let nodes = nodes.clone();
+            tokio::task::spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::task::spawn_local(nodes.clone().serve(number, stream));
+                }
+            });
+        }
+        nodes
+    }
+
+    async fn serve(self: Rc<Self>, number: usize, mut stream: TcpStream) {
+        let mut got = Vec::new();
+        loop {
+            while !got.ends_with(b"\r\n\r\n") {
+                match stream.read_buf(&mut got).await {
+                    Ok(1..) => {}
+                    _ => return,
+                }
+            }
+            let text = String::from_utf8(std::mem::take(&mut got)).unwrap();
+            let asked = |name: &str| -> u64 {
+                let value = text.split(name).nth(1).unwrap();
+                value.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
+            };
+            let (since, wait) = (asked("since="), asked("timeout_ms="));
+            self.last.set(number);
+            self.calls.set(self.calls.get() + 1);
+            let next = { self.next.borrow_mut().pop() };
+            let call = next.unwrap_or_else(|| self.plays[number].get());
+            if call == Call::List && self.generation.get() <= since {
+                let news = async {
+                    while self.generation.get() <= since {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                let _ = tokio::time::timeout(Duration::from_millis(wait), news).await;
+            }
+            let generation = self.generation.get();
+            let list = json!({"generation": generation, "reset": true, "instances": []}).to_string();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+            match call {
+                Call::List => stream.write_all(format!("{head}{list}").as_bytes()).await.unwrap(),
+                Call::End => return,
+                Call::Refuse => {
+                    let refusal = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(refusal).await.unwrap();
+                }
+                Call::Silence | Call::Short => {
+                    let part = format!("{head}{}", &list[..list.len() / 2]);
+                    let said = if call == Call::Short { part.as_bytes() } else { b"" };
+                    stream.write_all(said).await.unwrap();
+                    let _ = stream.read(&mut [0]).await; // held until the proxy gives up
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Something changes; the list's new generation.
+    fn change(&self) -> u64 {
+        self.generation.set(self.generation.get() + 1);
+        self.generation.get()
+    }
+}
+
+/// A proxy's discovery, and the generation that it last heard of.
+fn follow(addresses: &[SocketAddr], must_watch: bool, seed: u64) -> (Rc<Discovery>, Rc<Cell<u64>>) {
+    let settings =
+        Settings { classes: vec![Class::default()], must_watch, ask_within: 10.0, ..Settings::default() };
+    let wire = WireSettings::default();
+    let engine = Engine::start(settings.clone(), &wire, seed, 8);
+    let discovery = Discovery::start(addresses.to_vec(), Default::default(), None, &wire, &settings, engine);
+    let heard = Rc::new(Cell::new(0));
+    let hears = heard.clone();
+    discovery.on_list(move |generation| hears.set(generation));
+    (discovery, heard)
+}
+
+/// Waits until a generation is heard of; how long that took.
+async fn hear(heard: &Cell<u64>, generation: u64) -> Duration {
+    let start = Instant::now();
+    while heard.get() < generation {
+        assert!(start.elapsed() < 20 * TOLD, "{generation} is never heard of");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
+/// A watch that falls silent in the moment of a change, and the calls after it that fail too.
+#[tokio::test(start_paused = true)]
+async fn where_lists_are_pushed_a_change_is_heard_of_in_time_whatever_calls_fail() {
+    use Call::*;
+    for fails in [
+        vec![],
+        vec![Silence],
+        vec![Silence, Silence, Silence],
+        vec![Silence, Short, Silence],
+        vec![Short, Short, Short],
+        vec![Silence, End, End, Refuse, Silence, End],
+    ] {
+        let local = LocalSet::new();
+        let took = local.run_until(async {
+            let nodes = Nodes::start(1).await;
+            let (_discovery, heard) = follow(&nodes.addresses, false, 1);
+            hear(&heard, 1).await;
+            // The call that is out waits for news, and those after it are to fail.
+            let calls = nodes.calls.get();
+            *nodes.next.borrow_mut() = fails.iter().rev().copied().collect();
+            while nodes.calls.get() == calls {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            hear(&heard, nodes.change()).await
+        });
+        let took = took.await;
+        assert!(took < TOLD, "{fails:?}: {took:?}");
+    }
+}
+
+/// All nodes but the last one to be tried take calls and say nothing.
+#[tokio::test(start_paused = true)]
+async fn of_several_nodes_the_only_one_that_answers_is_found_in_time() {
+    for must_watch in [false, true] {
+        for count in [3, 7] {
+            let local = LocalSet::new();
+            let took = local.run_until(async {
+                let nodes = Nodes::start(count).await;
+                let (_discovery, heard) = follow(&nodes.addresses, must_watch, 1);
+                hear(&heard, 1).await;
+                tokio::time::sleep(Duration::from_millis(100)).await; // the next call is out, and falls silent
+                nodes.plays.iter().for_each(|play| play.set(Call::Silence));
+                let last = (nodes.last.get() + count - 1) % count;
+                nodes.plays[last].set(Call::List);
+                let generation = nodes.generation.get() + 1;
+                // The call that is out is not answered any more.
+                nodes.next.borrow_mut().clear();
+                tokio::time::sleep(Duration::from_secs(2)).await;
+                nodes.generation.set(generation);
+                hear(&heard, generation).await
+            });
+            let took = took.await;
+            assert!(took < TOLD, "{count} nodes, asked for {must_watch}: {took:?}");
+        }
+    }
+}
+
+/// Discovery comes back after having been down for long; one more call fails then.
+#[tokio::test(start_paused = true)]
+async fn where_lists_must_be_asked_for_a_change_is_heard_of_in_time_once_discovery_is_back() {
+    for down in [Call::Refuse, Call::End, Call::Silence] {
+        for further in [Call::List, Call::Refuse, Call::Silence] {
+            for seed in 0..5 {
+                let local = LocalSet::new();
+                let took = local.run_until(async {
+                    let nodes = Nodes::start(1).await;
+                    let (_discovery, heard) = follow(&nodes.addresses, true, seed);
+                    hear(&heard, 1).await;
+                    nodes.plays[0].set(down);
+                    tokio::time::sleep(Duration::from_millis(30_000 + 137 * seed)).await;
+                    // It is back: a call that was out is lost, and the next one may fail as well.
+                    nodes.plays[0].set(Call::List);
+                    if further != Call::List {
+                        nodes.next.borrow_mut().push(further);
+                    }
+                    hear(&heard, nodes.change()).await
+                });
+                let took = took.await;
+                assert!(took < TOLD, "{down:?}, then {further:?}, seed {seed}: {took:?}");
+            }
+        }
+    }
+}
+
+/// A process that starts while calls fail hears of the list in time too.
+#[tokio::test(start_paused = true)]
+async fn a_fresh_process_hears_of_the_list_in_time_though_its_first_call_fails() {
+    for must_watch in [false, true] {
+        for first in [Call::List, Call::Refuse, Call::End, Call::Short, Call::Silence] {
+            for seed in 0..10 {
+                let local = LocalSet::new();
+                let took = local.run_until(async {
+                    let nodes = Nodes::start(1).await;
+                    nodes.next.borrow_mut().push(first);
+                    let (_discovery, heard) = follow(&nodes.addresses, must_watch, seed);
+                    hear(&heard, 1).await
+                });
+                let took = took.await;
+                assert!(took < TOLD, "asked for {must_watch}, {first:?} first, seed {seed}: {took:?}");
+            }
+        }
+    }
+}
+
+/// SIGHUP with a call out, between two calls, and with a first call that the new address leaves unanswered.
+#[tokio::test(start_paused = true)]
+async fn discovery_that_has_moved_is_heard_of_in_time_and_its_old_address_no_more() {
+    for must_watch in [false, true] {
+        for old_play in [Call::List, Call::Silence, Call::Refuse] {
+            for first in [Call::List, Call::Silence] {
+                let (took, calls) = LocalSet::new()
+                    .run_until(async {
+                        let (old, new) = (Nodes::start(1).await, Nodes::start(1).await);
+                        let (discovery, heard) = follow(&old.addresses, must_watch, 3);
+                        hear(&heard, 1).await;
+                        old.plays[0].set(old_play);
+                        tokio::time::sleep(Duration::from_millis(11_300)).await;
+                        new.next.borrow_mut().push(first);
+                        new.generation.set(9);
+                        discovery.move_to(new.addresses.clone());
+                        let took = hear(&heard, 9).await;
+                        let calls = old.calls.get();
+                        // Whatever the old address would have told is not asked for any more.
+                        old.plays[0].set(Call::List);
+                        old.generation.set(50);
+                        tokio::time::sleep(Duration::from_secs(10)).await;
+                        assert_eq!(heard.get(), 9);
+                        (took, old.calls.get() - calls)
+                    })
+                    .await;
+                assert!(took < MOVED, "asked for {must_watch}, {old_play:?}, {first:?}: {took:?}");
+                assert_eq!(calls, 0, "no call goes to the old address any more");
+            }
+        }
+    }
+}
+
+/// Backends come and go for as long as the proxy runs: what is kept of them must not grow with all that ever were.
+#[tokio::test(start_paused = true)]
+async fn what_is_kept_of_backends_does_not_grow_with_those_that_are_gone() {
+    let local = LocalSet::new();
+    let kept = local.run_until(async {
+        let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
+        let engine = Engine::start(settings, &WireSettings::default(), 1, 8);
+        let address = "127.0.0.1:9".parse().unwrap();
+        for round in 0..500 {
+            let listed = |id, status| Listed {
+                entry: Entry { id: BackendId(id), status, ..Entry::default() },
+                address,
+            };
+            engine.news(match round % 2 {
+                0 => News::Full(vec![listed(round, Status::InService)]),
+                _ => News::Changes(vec![listed(round - 1, Status::Gone), listed(round, Status::InService)]),
+            });
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        engine.known_backends()
+    });
+    let [by_sockets, by_module] = kept.await;
+    assert!(by_sockets <= 2 && by_module <= 20, "{by_sockets} and {by_module} of 500");
+}
