Refuse a configuration that cannot be followed by the name of its key

A wrong type or value was told by line and column only, and negative limits and quotas, no classes and no attempts were taken. Each is now refused at the start in one line that names the key; unknown keys are skipped as before.

--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -31,8 +31,8 @@
     Json {
         /// The file.
         path: String,
-        /// What is wrong, and where.
-        error: serde_json::Error,
+        /// What is wrong, with the key's path.
+        error: serde_path_to_error::Error<serde_json::Error>,
     },
     /// A value that makes no sense.
     #[error("{name}: expected {expected}, got '{got}'")]
@@ -251,11 +251,20 @@
 fn read<T: DeserializeOwned>() -> Result<T, ConfigError> {
     let Ok(path) = var("RELAY_CONFIG") else {
         let path = "the embedded sample (RELAY_CONFIG is not set)".to_string();
-        return serde_json::from_str(SAMPLE).map_err(|error| ConfigError::Json { path, error });
+        return parse(path, SAMPLE);
     };
     let text =
         std::fs::read_to_string(&path).map_err(|error| ConfigError::Read { path: path.clone(), error })?;
-    serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })
+    parse(path, &text)
+}
+
+/// Parses JSON; its error names the key.
+fn parse<T: DeserializeOwned>(path: String, text: &str) -> Result<T, ConfigError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut json);
+    let value = value.map_err(|error| ConfigError::Json { path: path.clone(), error })?;
+    json.end().map_err(|error| bad(&path, "nothing behind the configuration", error))?;
+    Ok(value)
 }
 
 /// Most addresses of discovery: the nodes of one list service, 3 or 5, and room for a move.
@@ -270,6 +279,50 @@
     }
 }
 
+impl RawSettings {
+    /// Refuses what cannot be followed, by the key's name.
+    fn check(&self) -> Result<(), ConfigError> {
+        let Self { caps, costs, rules, projects, .. } = self;
+        for (name, value) in [
+            ("caps.max-retry-after", caps.max_retry_after),
+            ("costs.connection", costs.connection),
+            ("costs.cross-zone", costs.cross_zone),
+            ("costs.handshake", costs.handshake),
+            ("over-share-worth", self.over_share_worth.unwrap_or(0.0)),
+            ("quantum", self.quantum),
+            ("rules.ask-within", rules.ask_within),
+            ("rules.cold", rules.cold),
+            ("rules.cold-share", rules.cold_share),
+            ("rules.fall-multiple", rules.fall_multiple),
+            ("rules.release-within", rules.release_within.unwrap_or(0.0)),
+            ("rules.settle-after-doubt", rules.settle_after_doubt.unwrap_or(0.0)),
+            ("rules.tip-after", rules.tip_after),
+        ] {
+            not_negative(name, value)?;
+        }
+        for project in projects {
+            not_negative(&format!("quota-per-s of project {}", project.name), project.quota_per_s)?;
+        }
+        if self.classes.is_empty() {
+            return Err(bad("classes", "at least one", "none"));
+        }
+        if self.n_instances == 0 {
+            return Err(bad("n-instances", "at least 1", 0));
+        }
+        if caps.max_attempts == 0 {
+            return Err(bad("caps.max-attempts", "at least 1", 0));
+        }
+        Ok(())
+    }
+}
+
+fn not_negative(name: &str, value: f64) -> Result<f64, ConfigError> {
+    match value.is_finite() && value >= 0.0 {
+        true => Ok(value),
+        false => Err(bad(name, "a number not below 0", value)),
+    }
+}
+
 /// A span of time that fits a `Duration`.
 fn span(name: &str, seconds: f64) -> Result<Duration, ConfigError> {
     Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
@@ -301,6 +354,7 @@
     fn from_file(file: File, listen: SocketAddr, discovery: Vec<SocketAddr>) -> Result<Self, ConfigError> {
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
+        raw.check()?;
         let mut zones = raw.zones;
         let zone = zone_index(&mut zones, &raw.zone);
         let wire = WireSettings {
@@ -374,10 +428,7 @@
 }
 
 fn class(raw: RawClass) -> Result<Class, ConfigError> {
-    let positive = |name: &str, value: Time| match value.is_finite() && value >= 0.0 {
-        true => Ok(value),
-        false => Err(bad(&format!("{} of class {}", name, raw.name), "a number not below 0", value)),
-    };
+    let positive = |name: &str, value: Time| not_negative(&format!("{} of class {}", name, raw.name), value);
     let absent = |name: &str| bad(&format!("{} of class {}", name, raw.name), "a value", "none");
     Ok(Class {
         aim: positive("on-time", raw.on_time)?,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -333,6 +333,49 @@
     }
 }
 
+/// Puts a value in the settings under a path of keys; null takes the key away.
+fn set(settings: &mut Value, path: &str, value: Value) {
+    let (parent, key) = path.rsplit_once('/').unwrap();
+    let parent = settings.pointer_mut(parent).unwrap().as_object_mut().unwrap();
+    match value {
+        Value::Null => drop(parent.remove(key)),
+        value => drop(parent.insert(key.to_string(), value)),
+    }
+}
+
+#[test]
+fn a_configuration_that_cannot_be_followed_is_refused_by_the_name_of_its_key() {
+    for (path, value, key) in [
+        ("/classes/1/hard-limit", Value::Null, "hard-limit"),
+        ("/classes/1/hard-limit", json!(-1.0), "hard-limit of class save"),
+        ("/classes/1/group", Value::Null, "group of class save"),
+        ("/classes/0/effect", json!("sometimes"), "settings.classes[0].effect"),
+        ("/caps/max-attempts", json!(-3), "settings.caps.max-attempts"),
+        ("/caps/max-attempts", json!(0), "caps.max-attempts"),
+        ("/caps/connect-timeout", json!(-0.1), "caps.connect-timeout"),
+        ("/caps/max-retry-after", json!(-1.0), "caps.max-retry-after"),
+        ("/projects/0/quota-per-s", json!(-5.0), "quota-per-s of project acme"),
+        ("/rules/tip-after", json!(-1.0), "rules.tip-after"),
+        ("/rules/drain-grace", json!("soon"), "settings.rules.drain-grace"),
+        ("/n-instances", json!(0), "n-instances"),
+        ("/classes", json!([]), "classes"),
+    ] {
+        let mut settings = settings();
+        set(&mut settings, path, value.clone());
+        let text = config(&settings, &list(1, true, &[]));
+        let output = command(&text, quiet().address).0.output().unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success(), "{path} {value}");
+        assert!(told.lines().count() == 1 && told.contains(key), "{path} {value}: {told}");
+    }
+    // Keys that are not known are skipped.
+    let mut settings = settings();
+    set(&mut settings, "/rules/something-new", json!({"deep": [1]}));
+    let backend = Played::good("hello");
+    let proxy = Proxy::start(&settings, &known(&[&backend]), quiet().address);
+    assert_eq!(proxy.ask(&request("look", 9000)).status(), 200);
+}
+
 #[test]
 fn without_a_configuration_file_the_embedded_sample_starts_and_answers() {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
