--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -358,6 +358,15 @@
     }
 }
 
+/// What bounds an attempt in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// It is given up then.
+    pub until: Time,
+    /// It is not begun later than this.
+    pub send_by: Option<Time>,
+}
+
 /// Makes one attempt. `written` is set as soon as any of the request may have gone out: from then
 /// on a break may hide a request that runs, and is told as a reset.
 pub async fn attempt(
@@ -368,15 +377,6 @@
     written: Rc<Cell<bool>>,
 ) -> Done {
     exchange(&endpoint, &clock, &written, &payload, bounds).await
-/// What bounds an attempt in time.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// It is given up then.
-    pub until: Time,
-    /// It is not begun later than this.
-    pub send_by: Option<Time>,
-}
-
 }
 
 async fn exchange(
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -214,7 +214,10 @@
     pub fn move_to(self: &Rc<Self>, addresses: Vec<SocketAddr>) {
         if self.addresses.replace(addresses.clone()) != addresses {
             self.current.set(0);
-            self.moved.notify_one();
+            match self.watching.get() {
+                true => self.moved.notify_one(),
+                false => self.watch(), // whatever wait is on was meant for the old address
+            }
         }
     }
 
@@ -228,10 +231,7 @@
     pub fn ask_elsewhere(&self) {
         if self.several() {
             self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
-            match self.watching.get() {
-                true => self.moved.notify_one(),
-                false => self.watch(), // whatever wait is on was meant for the old address
-            }
+            self.moved.notify_one();
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -747,6 +747,121 @@
     assert!(at_once <= 130, "{at_once} of 200");
 }
 
+/// One proxy of a fleet, with its own traffic and what it has out.
+struct Member {
+    bench: Bench,
+    rate: f64,
+    out: Vec<(Time, u64, usize, u32, Outcome)>,
+}
+
+impl Member {
+    /// Takes in what was done: a cold backend is slow, one attempt in fifty is never answered.
+    fn sent(&mut self, actions: Vec<Action>, rng: &mut SmallRng, cold: u32, reached: &mut Vec<Time>) {
+        for action in actions {
+            match action {
+                Action::Send { id, backend, .. } => {
+                    let attempt = self.bench.sent[&id.0].len() - 1;
+                    if backend.0 == cold {
+                        reached.push(self.bench.now);
+                    }
+                    let took = if backend.0 == cold { 0.3 } else { 0.05 };
+                    let lost = rng.random::<f64>() < 0.02;
+                    let (took, outcome) =
+                        if lost { (1.9, Outcome::Timeout) } else { (took, Outcome::Served) };
+                    self.out.push((self.bench.now + took, id.0, attempt, backend.0, outcome));
+                }
+                Action::Cancel { id, attempt } => {
+                    self.out.retain(|o| (o.1, o.2) != (id.0, attempt));
+                    let more = self.bench.cancelled(&[Action::Cancel { id, attempt }]);
+                    self.sent(more, rng, cold, reached);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// What backends hold is what all proxies send together: beyond what a cold one is allowed, N calls in the time after
+/// which it tips, only 2 root N + 2 may be put down to chance.
+#[test]
+fn the_sum_of_thirty_proxies_stays_within_what_a_cold_backend_takes() {
+    const PROXIES: usize = 30;
+    const BACKENDS: u32 = 8;
+    const STEP: Time = 0.01;
+    const START: Time = 30.0;
+    let settings = Settings { cold: 10.0, cold_share: 0.2, fall_multiple: 3.0, tip_after: 1.0, ..safe() };
+    // Uneven traffic; bursts; all of it at half of what the backends can do; several new at the start; restarts.
+    for (name, uneven, bursts, new_at_start, restarts) in [
+        ("even", false, false, 0, false),
+        ("uneven", true, false, 0, false),
+        ("bursts", true, true, 0, false),
+        ("ten new at the start", true, true, 10, false),
+        ("constant restarts", true, true, 5, true),
+    ] {
+        for seed in 0..4u64 {
+            let mut rng = SmallRng::seed_from_u64(1000 + seed);
+            let mut list = fleet(BACKENDS);
+            let start = |me: usize, now: Time, list: &[Entry], rng: &mut SmallRng| {
+                let settings = Settings { instances: PROXIES, me, ..settings.clone() };
+                let mut balancer = Balancer::new(now, rng.random(), settings);
+                balancer.handle(now, Event::List(ListUpdate::Remembered(list)), &mut Vec::new());
+                Bench { balancer, now, timers: vec![], sent: Default::default() }
+            };
+            let mut members: Vec<Member> = (0..PROXIES)
+                .map(|me| {
+                    let rate = if uneven && me % 6 == 0 { 16.0 } else { 4.0 };
+                    Member { bench: start(me, 0.0, &list, &mut rng), rate, out: vec![] }
+                })
+                .collect();
+            let capacity = members.iter().map(|m| m.rate).sum::<f64>() / f64::from(BACKENDS) / 0.5;
+            let cold = 1 + rng.random_range(0..BACKENDS);
+            let (mut reached, mut next_id, mut now, mut told) = (Vec::new(), 0, 0.0, false);
+            while now < START + settings.cold {
+                now += STEP;
+                if !told && now >= START {
+                    told = true;
+                    list[cold as usize - 1].started = Some(now);
+                    for (me, member) in members.iter_mut().enumerate() {
+                        match me < new_at_start {
+                            true => (member.bench, member.out) = (start(me, now, &list, &mut rng), vec![]),
+                            false => drop(member.bench.event(Event::List(ListUpdate::Full(&list)))),
+                        }
+                    }
+                    reached.clear();
+                }
+                if restarts && rng.random::<f64>() < STEP {
+                    let me = rng.random_range(0..PROXIES);
+                    (members[me].bench, members[me].out) = (start(me, now, &list, &mut rng), vec![]);
+                }
+                for member in &mut members {
+                    let due = plain(member.bench.run_to(now));
+                    member.sent(due, &mut rng, cold, &mut reached);
+                    while let Some(at) = member.out.iter().position(|o| o.0 <= now) {
+                        let (_, id, attempt, to, outcome) = member.out.swap_remove(at);
+                        let actions = member.bench.end(id, attempt, to, outcome, 0.05);
+                        member.sent(actions, &mut rng, cold, &mut reached);
+                    }
+                    let burst = if bursts && now % 5.0 < 1.0 { 2.0 } else { 1.0 };
+                    if rng.random::<f64>() < member.rate * burst * STEP {
+                        next_id += 1;
+                        let actions = member.bench.request(next_id);
+                        member.sent(actions, &mut rng, cold, &mut reached);
+                    }
+                }
+            }
+            for (i, at) in reached.iter().enumerate() {
+                let count = reached[i..].iter().take_while(|t| **t < at + settings.tip_after).count() as f64;
+                let warmth = ((at - START) / settings.cold).clamp(0.0, 1.0);
+                let part = settings.cold_share + (1.0 - settings.cold_share) * warmth;
+                let allowed = settings.fall_multiple * part * capacity * settings.tip_after;
+                let most = allowed + 2.0 * allowed.sqrt() + 2.0;
+                assert!(count <= most, "{name}, seed {seed}: {count} of {most:.1} at {at:.2}");
+            }
+            assert!(reached.len() > 20, "{name}, seed {seed}: it must warm: {}", reached.len());
+        }
+    }
+}
+
 // ---- shedding at the entry ----
 
 #[test]
--- a/tests/fleet/hard.rs
+++ b/tests/fleet/hard.rs
@@ -17,7 +17,7 @@
 
 /// A fleet of one proxy before one backend, both on ports the system chose.
 fn one_proxy(fleet: &mut Fleet, backend: SocketAddr) -> (harness::process::Process, Discovery) {
-    let listing = Listing { id: "b-0".into(), address: backend, lifecycle: "SERVING" };
+    let listing = Listing { id: "b-0".into(), address: backend, ..Listing::default() };
     let discovery = Discovery::start(vec![listing], 1).expect("discovery starts");
     let config = harness::config(&harness::settings(0, 1, 0.4), &discovery.known(), 7);
     (fleet.proxy(&config, discovery.agent(0)).expect("a proxy starts"), discovery)
--- a/tests/fleet/harness/discovery.rs
+++ b/tests/fleet/harness/discovery.rs
@@ -14,7 +14,7 @@
 /// Longest wait of a watch, as `PROTOCOL` bounds it.
 const MOST_WAIT: Duration = Duration::from_secs(60);
 
-/// One backend as listed.
+/// One backend as listed; by default one that serves, and has for long.
 #[derive(Clone, Debug)]
 pub struct Listing {
     /// `instanceId`.
@@ -23,6 +23,15 @@
     pub address: SocketAddr,
     /// `SERVING` or `DRAINING`.
     pub lifecycle: &'static str,
+    /// `startedAtMs`.
+    pub started_ms: f64,
+}
+
+impl Default for Listing {
+    fn default() -> Self {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        Self { id: String::new(), address, lifecycle: "SERVING", started_ms: 0.0 }
+    }
 }
 
 #[derive(Default)]
@@ -77,10 +86,17 @@
 
     /// Changes the lifecycle of one entry; returns the new version.
     pub fn set_lifecycle(&self, id: &str, lifecycle: &'static str) -> u64 {
+        self.change(id, |entry| entry.lifecycle = lifecycle)
+    }
+
+    /// Says that one entry started at this Unix time, in milliseconds; returns the new version.
+    pub fn set_started(&self, id: &str, started_ms: f64) -> u64 {
+        self.change(id, |entry| entry.started_ms = started_ms)
+    }
+
+    fn change(&self, id: &str, how: impl Fn(&mut Listing)) -> u64 {
         let mut list = self.shared.list.lock().unwrap_or_else(|e| e.into_inner());
-        for entry in list.entries.iter_mut().filter(|e| e.id == id) {
-            entry.lifecycle = lifecycle;
-        }
+        list.entries.iter_mut().filter(|e| e.id == id).for_each(how);
         list.generation += 1;
         self.shared.changed.notify_all();
         list.generation
@@ -96,7 +112,7 @@
 fn body(list: &List) -> Value {
     let entry = |e: &Listing| {
         json!({"instanceId": e.id, "hostPort": e.address.to_string(), "zone": "a", "machineType": "m",
-               "cell": 0, "lifecycle": e.lifecycle, "weight": 1.0, "startedAtMs": 0})
+               "cell": 0, "lifecycle": e.lifecycle, "weight": 1.0, "startedAtMs": e.started_ms})
     };
     json!({"generation": list.generation, "reset": true,
            "instances": list.entries.iter().map(entry).collect::<Vec<_>>()})
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod durable;
 mod duties;
 mod hard;
+mod hardening;
 mod harness;
 mod listing;
 mod replicated;
@@ -55,7 +56,7 @@
     let relays: Vec<Relay> =
         backends.iter().map(|b| Relay::start(b.address()).expect("a relay starts")).collect();
     let listings = (0..BACKENDS)
-        .map(|n| Listing { id: format!("b-{n}"), address: relays[n].address(), lifecycle: "SERVING" })
+        .map(|n| Listing { id: format!("b-{n}"), address: relays[n].address(), ..Listing::default() })
         .collect();
     let discovery = Discovery::start(listings, PROXIES).expect("discovery starts");
     let mut proxies: Vec<Process> = (0..PROXIES)
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -523,6 +523,9 @@
     assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
 }
 
+/// What bounds an attempt that nothing hurries.
+const BOUNDS: Bounds = Bounds { until: 20.0, send_by: None };
+
 /// A request that may be sent `once`, or repeated.
 fn payload(once: bool) -> Payload {
     Payload {
@@ -566,9 +569,6 @@
         assert_eq!(sent(true).await, 1);
         if let Some(after) = closed_after {
             rest(after).await;
-/// What bounds an attempt that nothing hurries.
-const BOUNDS: Bounds = Bounds { until: 20.0, send_by: None };
-
             close.send(()).unwrap();
             heard(&end);
             tokio::time::sleep(Duration::from_millis(1)).await; // the runtime hears of it
