Take no request under an id that has been used, and repeat none that a backend calls wrong

A trace of requests and answers showed the same each time: a bad peer sends the id of a request that has just been answered, on a connection of its own; the first backend answers 400, the repeat goes to another one, which still knows the id and answers 200.

Ruled out: second answers that come late (none of the plays with connections rested for 20 ms showed one, and it went on); the bytes of one answer in another's (each body had the length that its own id asks for).

Change: the engine remembers the last 4,096 ids that have ended, and a request under one of them gets a 400, as one under an id in use did. A backend's 400 is an outcome of its own: the request is at fault, so it fails at once, and no backend is blamed or asked besides.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -291,6 +291,8 @@
     Cancelled,
     /// Never sent.
     NeverSent,
+    /// The backend says that the request itself is wrong: it never ran, and no other backend would run it.
+    Rejected,
 }
 
 /// The end of an attempt.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -170,7 +170,7 @@
 impl Attempt {
     fn may_have_run(&self) -> bool {
         use Outcome::*;
-        !matches!(self.outcome, Some(Full | NoConnection | NeverSent))
+        !matches!(self.outcome, Some(Full | NoConnection | NeverSent | Rejected))
     }
 }
 
@@ -780,7 +780,7 @@
                         self.normal[class].add(ended.took / size, most, calm);
                         self.wait.add(ended.took, most, calm);
                     }
-                    Cancelled | NeverSent => {}
+                    Cancelled | NeverSent | Rejected => {}
                     _ => self.learn(backend, class, ended.took / size, true),
                 }
             }
@@ -804,6 +804,10 @@
         if ended.over {
             return self.finish(slot, Some(ended.attempt), actions);
         }
+        if ended.outcome == Rejected {
+            actions.push(Action::Fail { id: ended.id });
+            return self.finish(slot, Some(ended.attempt), actions);
+        }
         if self.calls[slot].waits() {
             return; // a copy may still answer
         }
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -402,6 +402,7 @@
     let outcome = match head.status {
         StatusCode::OK => Outcome::Served,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Full,
+        StatusCode::BAD_REQUEST => Outcome::Rejected,
         _ => Outcome::Error,
     };
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -26,6 +26,8 @@
 const GRACE_USED: f64 = 0.5;
 /// So long after the start a proxy that has heard of no list is put to use all the same, in seconds.
 const UNLISTED: Time = 5.0;
+/// So many ids of ended requests are remembered: those of some seconds, in which attempts may still run.
+const USED_IDS: usize = 4096;
 /// How often idle connections are looked through: how long they last is known as exactly.
 const SWEEP: Duration = Duration::from_millis(100);
 
@@ -86,12 +88,31 @@
     task: AbortHandle,
 }
 
+/// The ids of the last requests that have ended, oldest first.
+#[derive(Default)]
+struct UsedIds {
+    order: VecDeque<RequestId>,
+    ids: HashSet<RequestId>,
+}
+
+impl UsedIds {
+    fn add(&mut self, id: RequestId) {
+        if self.ids.insert(id) {
+            self.order.push_back(id);
+        }
+        if self.order.len() > USED_IDS {
+            self.order.pop_front().iter().for_each(|oldest| drop(self.ids.remove(oldest)));
+        }
+    }
+}
+
 struct State {
     balancer: Balancer,
     told: VecDeque<Told>,
     timers: BinaryHeap<Reverse<(At, u64, Due)>>,
     timers_set: u64,
     open: HashMap<RequestId, Open>,
+    used: UsedIds,
     running: HashMap<(RequestId, usize), Running>,
     endpoints: HashMap<BackendId, Rc<Endpoint>>,
 }
@@ -147,6 +168,7 @@
                 timers: BinaryHeap::new(),
                 timers_set: 0,
                 open: HashMap::new(),
+                used: UsedIds::default(),
                 running: HashMap::new(),
                 endpoints: HashMap::new(),
             }),
@@ -210,7 +232,8 @@
     }
 
     /// Takes in a request that the client will wait for `request.budget` seconds for. The answer
-    /// comes to the receiver in that time. None if the id is in use.
+    /// comes to the receiver in that time. None if the id has been used: each request has one of its own, and a backend
+    /// that still knows it would answer for the other.
     pub fn request(&self, mut request: Request, mut payload: Payload) -> Option<oneshot::Receiver<Answer>> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state();
@@ -219,7 +242,7 @@
             let _ = answer.send(Answer::Refused(None)); // the receiver is still here
             return Some(receiver);
         }
-        if state.open.contains_key(&request.id) {
+        if state.open.contains_key(&request.id) || state.used.ids.contains(&request.id) {
             return None;
         }
         let now = self.clock.now();
@@ -481,6 +504,7 @@
 /// Takes a request off the open ones: attempts of it that still wait for a connection are not sent any more.
 fn close(state: &mut State, id: RequestId) -> Option<Open> {
     let open = state.open.remove(&id)?;
+    state.used.add(id);
     open.payload.over.set(true);
     Some(open)
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -323,7 +323,7 @@
         let over = Cell::new(false);
         let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over, stamp: None };
         let Some(answer) = self.engine.request(request, payload) else {
-            return Ok(plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n"));
+            return Ok(plain(StatusCode::BAD_REQUEST, "X-Txn: has been used\n"));
         };
         let leaving = Leaving(&self.engine, id);
         let answer = tokio::select! {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -150,6 +150,22 @@
     }
 }
 
+#[test]
+fn a_call_that_is_itself_wrong_fails_at_once_and_no_backend_is_blamed() {
+    for effect in [Effect::Safe, Effect::Unsafe, Effect::Keyed { group: Group::All, window: 5.0 }] {
+        let mut b = Bench::new(with(effect), &fleet(2));
+        for id in 0..40 {
+            let (_, to) = sends(&b.request(id))[0];
+            let actions = b.end(id, 0, to, Outcome::Rejected, 0.01);
+            assert!(failed(&actions, id), "{effect:?}: {actions:?}");
+            assert_eq!(sends(&plain(b.run_to(b.now + 0.1))), [], "{effect:?}: sent again");
+        }
+        // Both backends are as good as before.
+        let met: std::collections::BTreeSet<u32> = (100..140).map(|id| b.served(id, 0.05)).collect();
+        assert_eq!(met.len(), 2, "{effect:?}");
+    }
+}
+
 #[test]
 fn an_unsafe_call_is_sent_again_only_if_it_never_ran() {
     for (outcome, again) in
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -320,6 +320,45 @@
     assert_eq!(proxy.ask(&good).status(), 200);
 }
 
+/// Whoever sends an id again, on whatever connection, is no client of that request: a backend that still knows the id
+/// may answer for the request that had it.
+#[test]
+fn a_request_with_an_id_that_has_been_used_is_an_error_and_goes_to_no_backend() {
+    let backend = Played::good("hello");
+    let proxy = Proxy::before(&[&backend]);
+    for class in ["look", "save", "order"] {
+        let (text, before) = (request(class, 9000), backend.count());
+        assert_eq!(proxy.ask(&text).status(), 200);
+        let replay = text.replace("/api?q=1", "/api?q=2");
+        assert_eq!(proxy.ask(&replay).status(), 400, "{class}");
+        assert_eq!(backend.count(), before + 1, "{class}");
+    }
+}
+
+/// A backend's 400 says that the request itself is wrong: no other backend is asked, and none is blamed.
+#[test]
+fn a_request_that_a_backend_calls_wrong_fails_at_once() {
+    let (tried, other) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let rejects = |count: &Arc<AtomicUsize>| {
+        let count = count.clone();
+        Played::new(move |_, _| {
+            count.fetch_add(1, Ordering::SeqCst);
+            Play::Answer(answer("400 Bad Request", ""))
+        })
+    };
+    let backends = [rejects(&tried), rejects(&other)];
+    let proxy = Proxy::before(&[&backends[0], &backends[1]]);
+    for class in ["look", "save", "order"] {
+        let before = tried.load(Ordering::SeqCst) + other.load(Ordering::SeqCst);
+        let start = Instant::now();
+        let status = proxy.ask(&request(class, 20_000)).status();
+        assert!(status >= 400 && status != 429 && status != 503, "{class}: {status}");
+        // A repeat would come seconds later.
+        assert!(start.elapsed() < Duration::from_secs(2), "{class}");
+        assert_eq!(tried.load(Ordering::SeqCst) + other.load(Ordering::SeqCst), before + 1, "{class}");
+    }
+}
+
 #[test]
 fn a_bad_configuration_is_told_in_one_line() {
     let mut lacking = settings();
