Rename the proxy's own words to the field's: connection, epoch, idle, busy, unsafe to repeat, pending

Peer is UpstreamConnection, Place is ClientConnection, an endpoint's era its epoch, what rested is idle, what worked is busy, once is unsafe_to_repeat, over is ended, the engine's told are pending events, MOST_ is MAX_. No change in what runs.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -22,14 +22,14 @@
 use tokio::time::Instant;
 
 /// Largest body, of a request or an answer.
-pub const MOST_BODY: usize = 64 << 10;
+pub const MAX_BODY: usize = 64 << 10;
 /// Part of the idle limit of backends up to which a connection is used again: one that is used
 /// close to the limit crosses the backend's closing, and the request on it is lost.
 const REUSE_WITHIN: f64 = 0.7;
 /// Backends may end idle connections before that limit, and just when a request goes out: one that must
 /// not run twice would be lost. It goes on a connection that has rested for less than this part of the
 /// shortest rest that one has ended after, or on a new one.
-const ONCE_WITHIN: f64 = 0.5;
+const UNSAFE_REUSE_WITHIN: f64 = 0.5;
 /// A backend that goes wrong may send a second answer some milliseconds behind the first (1 to 6 were seen): on a
 /// connection that is in use again by then it would pass for the answer to the next request. So long a connection rests
 /// before it is used again.
@@ -40,7 +40,7 @@
 
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
 /// so that dropping it ends both at once.
-pub struct Peer {
+pub struct UpstreamConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     io: Io,
     stream: Stream,
@@ -63,15 +63,15 @@
 type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
 
 /// Connects.
-pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<Peer> {
+pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<UpstreamConnection> {
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let stream = Stream::new(stream);
     let (sender, io) = http1::handshake(TokioIo::new(stream.clone())).await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: None }, stream })
+    Ok(UpstreamConnection { sender, io: Io { connection: Box::pin(io), ended: None }, stream })
 }
 
-impl Peer {
+impl UpstreamConnection {
     /// Waits for `wanted` while the connection works. None if it ends without it.
     pub async fn drive<F: Future>(&mut self, wanted: F) -> Option<F::Output> {
         self.io.drive(wanted).await
@@ -155,8 +155,8 @@
     }
 
     /// A connection that may have rested for so long carries what must not run twice.
-    fn carries_once(&self, rested: Duration) -> bool {
-        rested < FRESH || rested.as_secs_f64() < ONCE_WITHIN * self.shortest_rest.get().as_secs_f64()
+    fn carries_unsafe(&self, rested: Duration) -> bool {
+        rested < FRESH || rested.as_secs_f64() < UNSAFE_REUSE_WITHIN * self.shortest_rest.get().as_secs_f64()
     }
 }
 
@@ -167,7 +167,7 @@
 }
 
 struct Idle {
-    peer: Peer,
+    upstream: UpstreamConnection,
     permit: Permit,
     since: Instant,
     /// How long it had rested when it was last looked at and had not ended.
@@ -177,8 +177,8 @@
 }
 
 impl Idle {
-    fn new(peer: Peer, permit: Permit, answered: bool) -> Self {
-        Self { peer, permit, since: Instant::now(), up_after: Duration::ZERO, answered }
+    fn new(upstream: UpstreamConnection, permit: Permit, answered: bool) -> Self {
+        Self { upstream, permit, since: Instant::now(), up_after: Duration::ZERO, answered }
     }
 
     /// No late answer comes on it any more.
@@ -188,9 +188,9 @@
 
     /// It, unless it has ended; after what rest it was closed is remembered.
     fn still_up(self) -> Option<Self> {
-        let Self { peer, permit, since, up_after, answered } = self;
-        match peer.checked() {
-            Ok(peer) => Some(Self { peer, permit, since, up_after: since.elapsed(), answered }),
+        let Self { upstream, permit, since, up_after, answered } = self;
+        match upstream.checked() {
+            Ok(upstream) => Some(Self { upstream, permit, since, up_after: since.elapsed(), answered }),
             Err(end) => {
                 let Permit(budget) = &permit;
                 if end == End::Closed && up_after >= FRESH {
@@ -211,7 +211,7 @@
     /// It is off the list.
     gone: Cell<bool>,
     /// Goes up when its connections are no longer to be kept.
-    era: Cell<u64>,
+    epoch: Cell<u64>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     reuse_within: Duration,
@@ -225,7 +225,7 @@
             idle: RefCell::default(),
             last_send: Cell::new(None),
             gone: Cell::new(false),
-            era: Cell::new(0),
+            epoch: Cell::new(0),
             budget,
             connect_timeout,
             reuse_within: idle.mul_f64(REUSE_WITHIN),
@@ -256,7 +256,7 @@
 
     /// Closes the idle connections, and those in use once they become idle.
     pub fn release(&self) {
-        self.era.set(self.era.get() + 1);
+        self.epoch.set(self.epoch.get() + 1);
         self.idle.borrow_mut().clear();
     }
 
@@ -276,12 +276,12 @@
         }
     }
 
-    /// Keeps a connection for a later request, if it is good and none was to be closed since `era`.
-    fn keep(&self, peer: Peer, permit: Permit, era: u64, answered: bool) {
-        if let Ok(peer) = peer.checked()
-            && self.era.get() == era
+    /// Keeps a connection for a later request, if it is good and none was to be closed since `epoch`.
+    fn keep(&self, upstream: UpstreamConnection, permit: Permit, epoch: u64, answered: bool) {
+        if let Ok(upstream) = upstream.checked()
+            && self.epoch.get() == epoch
         {
-            self.idle.borrow_mut().push(Idle::new(peer, permit, answered));
+            self.idle.borrow_mut().push(Idle::new(upstream, permit, answered));
         }
     }
 
@@ -289,31 +289,31 @@
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
 
-    /// The idle connection used last of those on which no late answer may still come. `once`: for a request that must
+    /// The idle connection used last of those on which no late answer may still come. `unsafe_to_repeat`: for a request that must
     /// not run twice.
-    fn idle(&self, once: bool) -> Option<Idle> {
+    fn idle(&self, unsafe_to_repeat: bool) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
-        let carries = |idle: &Idle| !once || self.budget.carries_once(idle.since.elapsed());
+        let carries = |idle: &Idle| !unsafe_to_repeat || self.budget.carries_unsafe(idle.since.elapsed());
         let at = idle.iter().rposition(|idle| idle.has_rested() && carries(idle))?;
         Some(idle.remove(at))
     }
 
     /// An idle connection or a new one.
-    async fn peer(&self, once: bool) -> Option<(Peer, Permit)> {
-        while let Some(idle) = self.idle(once) {
+    async fn connection(&self, unsafe_to_repeat: bool) -> Option<(UpstreamConnection, Permit)> {
+        while let Some(idle) = self.idle(unsafe_to_repeat) {
             if idle.since.elapsed() < self.reuse_within
                 && let Some(idle) = idle.still_up()
             {
-                return Some((idle.peer, idle.permit));
+                return Some((idle.upstream, idle.permit));
             }
         }
         let permit = self.budget.take()?;
         loop {
             let address = self.address.get();
-            let peer = connect(address, self.connect_timeout).await.ok()?;
+            let upstream = connect(address, self.connect_timeout).await.ok()?;
             // It may be listed elsewhere by now, and its old address be another's.
             if self.address.get() == address {
-                return Some((peer, permit));
+                return Some((upstream, permit));
             }
         }
     }
@@ -369,15 +369,15 @@
     payload: &Payload,
     Bounds { until, send_by }: Bounds,
 ) -> Done {
-    let era = endpoint.era.get();
-    let (mut peer, permit, answer) = loop {
-        let Some((mut peer, permit)) = endpoint.peer(payload.once).await else {
+    let epoch = endpoint.epoch.get();
+    let (mut upstream, permit, answer) = loop {
+        let Some((mut upstream, permit)) = endpoint.connection(payload.unsafe_to_repeat).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
         // The request may have had its answer while the connection came up, or repeats be let run twice by now;
         // the connection then serves another.
-        if payload.over.get() || send_by.is_some_and(|by| clock.now() >= by) {
-            endpoint.keep(peer, permit, era, false);
+        if payload.ended.get() || send_by.is_some_and(|by| clock.now() >= by) {
+            endpoint.keep(upstream, permit, epoch, false);
             return Done::without_answer(Outcome::NeverSent);
         }
         // The news of a drain may have come while the connection was made.
@@ -385,19 +385,19 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
-        match peer.send(payload.request(until - clock.now())).await {
-            Some(Ok(answer)) => break (peer, permit, answer),
+        match upstream.send(payload.request(until - clock.now())).await {
+            Some(Ok(answer)) => break (upstream, permit, answer),
             // Handed back whole: the connection had ended before any of it was written.
             Some(Err(error)) if error.message().is_some() => written.set(false),
             _ => return Done::without_answer(Outcome::Reset),
         }
     };
     let (head, body) = answer.into_parts();
-    let Some(Ok(body)) = peer.drive(Limited::new(body, MOST_BODY).collect()).await else {
+    let Some(Ok(body)) = upstream.drive(Limited::new(body, MAX_BODY).collect()).await else {
         return Done::without_answer(Outcome::Reset);
     };
     let body = body.to_bytes();
-    endpoint.keep(peer, permit, era, true);
+    endpoint.keep(upstream, permit, epoch, true);
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Served,
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -268,13 +268,13 @@
 }
 
 /// Most addresses of discovery: the nodes of one list service, 3 or 5, and room for a move.
-pub const MOST_DISCOVERY: usize = 7;
+pub const MAX_DISCOVERY: usize = 7;
 
 /// One `address:port`, or several separated by commas.
 fn addresses(name: &str, text: &str) -> Result<Vec<SocketAddr>, ConfigError> {
     let parsed: Result<Vec<SocketAddr>, _> = text.split(',').map(|a| a.trim().parse()).collect();
     match parsed {
-        Ok(list) if !list.is_empty() && list.len() <= MOST_DISCOVERY => Ok(list),
+        Ok(list) if !list.is_empty() && list.len() <= MAX_DISCOVERY => Ok(list),
         _ => Err(bad(name, "address:port, or up to 7 of them separated by commas", text)),
     }
 }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: the watch and fetch calls, and lists in the module's terms.
 
-use super::backend::{self, Peer};
+use super::backend::{self, UpstreamConnection};
 use super::engine::Engine;
 use super::listcache::{self, ListCache};
 use super::lists::{Lifecycle, RawEntry, RawList};
@@ -22,7 +22,7 @@
 /// Longest wait for news that a watch call asks for. What discovery has to tell counts as told 2 s after
 /// that wait, and 6 s after it came up, arrived or not: a watch that falls silent, or a list that stops
 /// short, must show early enough for further calls, which may meet with the same.
-const MOST_WATCH: Duration = Duration::from_secs(2);
+const MAX_WATCH: Duration = Duration::from_secs(2);
 /// How much longer than that an answer may take to begin, and then to come whole: discovery is near.
 const PATIENCE: Duration = Duration::from_millis(600);
 /// The wait that a call asks for behind one that failed: it finds out whether anyone answers, and asks for what
@@ -39,13 +39,13 @@
 const LEAVING: Duration = Duration::from_millis(300);
 /// up to this on the way round the others,
 const NEXT_NODE: Duration = Duration::from_millis(150);
-/// and up to this where none of them answered. With `MOST_DISCOVERY` nodes, all but one of which take calls and say
+/// and up to this where none of them answered. With `MAX_DISCOVERY` nodes, all but one of which take calls and say
 /// nothing, a change is heard of within 2.6 + 0.3 + 5 x (0.4 + 0.15) s of their falling silent, and within
 /// 2 + 6 x (0.4 + 0.15) s of the one's coming back.
 const NEXT_ROUND: Duration = Duration::from_secs(2);
 /// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
 /// memory, of the 32 MB that a proxy may have.
-const MOST_BYTES: usize = 1 << 20;
+const MAX_BYTES: usize = 1 << 20;
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -187,7 +187,7 @@
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
             watching: Cell::new(false),
-            wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
+            wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MAX_WATCH).min(MAX_WATCH),
             asked: settings.must_watch,
             cache: cache.map(|cache| Rc::new(RefCell::new(cache))),
             engine,
@@ -274,7 +274,7 @@
     /// a call that failed is made again after a while; where they must be asked for, the module
     /// is told once no node has answered, and says when.
     async fn watch_loop(self: Rc<Self>) {
-        let mut peer = None;
+        let mut connection = None;
         // Calls in a row that brought nothing. At first, after a failure, and where discovery has moved, no one
         // knows yet whether it answers.
         let mut failures = 0;
@@ -290,9 +290,9 @@
                 format!("/api/targets?since={}&timeout_ms={}", self.generation.get(), wait.as_millis());
             let answer = tokio::select! {
                 biased; // an answer that has come is taken in
-                answer = self.call(&path, wait + patience, &mut peer) => answer,
+                answer = self.call(&path, wait + patience, &mut connection) => answer,
                 () = self.moved.notified() => {
-                    (peer, failures, unheard) = (None, 0, true);
+                    (connection, failures, unheard) = (None, 0, true);
                     continue;
                 }
             };
@@ -309,7 +309,7 @@
             if self.several() {
                 // Another node is asked on a new connection.
                 self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
-                peer = None;
+                connection = None;
             }
             if self.asked && self.round_is_over(failures) {
                 // Over before the module is told: its next call begins a watch of its own.
@@ -318,7 +318,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(self.backoff(failures)) => {}
-                () = self.moved.notified() => (peer, failures, unheard) = (None, 0, true),
+                () = self.moved.notified() => (connection, failures, unheard) = (None, 0, true),
             }
         }
     }
@@ -339,25 +339,31 @@
     }
 
     /// One call, on the connection kept from the last one if there is one.
-    async fn call(&self, path: &str, wait: Duration, kept: &mut Option<Peer>) -> Result<RawList, CallError> {
+    async fn call(
+        &self,
+        path: &str,
+        wait: Duration,
+        kept: &mut Option<UpstreamConnection>,
+    ) -> Result<RawList, CallError> {
         let called = tokio::time::timeout(wait, async {
-            let mut peer = match kept.take().and_then(|peer| peer.checked().ok()) {
-                Some(peer) => peer,
+            let mut connection = match kept.take().and_then(|connection| connection.checked().ok()) {
+                Some(connection) => connection,
                 None => backend::connect(self.address(), PATIENCE).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
-            let answer = peer.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
-            let (status, body) = (answer.status(), Limited::new(answer.into_body(), MOST_BYTES));
-            let body = tokio::time::timeout(PATIENCE, peer.drive(body.collect()));
+            let answer =
+                connection.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
+            let (status, body) = (answer.status(), Limited::new(answer.into_body(), MAX_BYTES));
+            let body = tokio::time::timeout(PATIENCE, connection.drive(body.collect()));
             let body = body.await.map_err(|_| CallError::Late)?.ok_or(CallError::Broken)?;
             let body = body.map_err(CallError::Body)?;
             if !status.is_success() {
                 return Err(CallError::Status(status.as_u16()));
             }
-            *kept = peer.checked().ok();
+            *kept = connection.checked().ok();
             let list: RawList = serde_json::from_slice(&body.to_bytes())?;
             // Taken in, old changes would bring back backends that have since drained. A discovery
             // that has begun anew tells the whole list; nodes of one list service count one revision,
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -21,7 +21,7 @@
 /// this long before the client gives up, and the engine's own, if there was none, at half of it.
 const ANSWER_WAY: Time = 0.006;
 /// Largest allowance for waiting in this process, in seconds.
-const MOST_LAG: Time = 0.1;
+const MAX_LAG: Time = 0.1;
 /// Part of the grace of a drain after which a send that was decided before is not made.
 const GRACE_USED: f64 = 0.5;
 /// So long after the start a proxy that has heard of no list is put to use all the same, in seconds.
@@ -68,7 +68,7 @@
 }
 
 /// An event that owns what it tells.
-enum Told {
+enum Pending {
     Event(Event<'static>),
     List(News),
     Rules(Rules, Option<Place>),
@@ -108,7 +108,7 @@
 
 struct State {
     balancer: Balancer,
-    told: VecDeque<Told>,
+    pending: VecDeque<Pending>,
     timers: BinaryHeap<Reverse<(At, u64, Due)>>,
     timers_set: u64,
     open: HashMap<RequestId, Open>,
@@ -164,7 +164,7 @@
             max_attempts: Cell::new(settings.max_attempts),
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
-                told: VecDeque::new(),
+                pending: VecDeque::new(),
                 timers: BinaryHeap::new(),
                 timers_set: 0,
                 open: HashMap::new(),
@@ -202,7 +202,7 @@
     pub fn follow(&self, rules: Rules, place: Option<Place>) {
         self.max_attempts.set(rules.max_attempts);
         let mut state = self.state.borrow_mut();
-        state.told.push_back(Told::Rules(rules, place));
+        state.pending.push_back(Pending::Rules(rules, place));
         self.decide(state);
     }
 
@@ -253,7 +253,7 @@
         let payload = Rc::new(payload);
         state.open.insert(request.id, Open { answer, payload, until, attempts: 0 });
         self.set_timer(&mut state, until, Due::Request(request.id));
-        state.told.push_back(Told::Event(Event::Request(request)));
+        state.pending.push_back(Pending::Event(Event::Request(request)));
         self.decide(state);
         Some(receiver)
     }
@@ -262,7 +262,7 @@
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state();
         if close(&mut state, id).is_some() {
-            state.told.push_back(Told::Event(Event::ClientLeft(id)));
+            state.pending.push_back(Pending::Event(Event::ClientLeft(id)));
             self.decide(state);
         }
     }
@@ -301,7 +301,7 @@
         let told = matches!(&news, News::Full(_) | News::Changes(_));
         let serving = listed.iter().any(|l| l.entry.status == Status::InService);
         self.listed.set(self.listed.get() || told || serving);
-        state.told.push_back(Told::List(news));
+        state.pending.push_back(Pending::List(news));
         self.decide(state);
     }
 
@@ -323,7 +323,7 @@
         {
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
-        state.told.push_back(Told::Event(Event::Outcome(Ended {
+        state.pending.push_back(Pending::Event(Event::Outcome(Ended {
             id,
             backend: running.backend,
             attempt,
@@ -336,15 +336,15 @@
     /// Lets the module decide on all that it has not been told yet.
     fn decide(&self, mut state: std::cell::RefMut<'_, State>) {
         let mut actions = Vec::new();
-        while let Some(told) = state.told.pop_front() {
+        while let Some(pending) = state.pending.pop_front() {
             let now = self.clock.now();
             let entries = |list: Vec<Listed>| list.into_iter().map(|l| l.entry).collect::<Vec<Entry>>();
-            match told {
-                Told::Event(event) => state.balancer.handle(now, event, &mut actions),
-                Told::Rules(rules, place) => {
+            match pending {
+                Pending::Event(event) => state.balancer.handle(now, event, &mut actions),
+                Pending::Rules(rules, place) => {
                     state.balancer.handle(now, Event::Rules(&rules, place), &mut actions);
                 }
-                Told::List(news) => {
+                Pending::List(news) => {
                     let list;
                     let update = match news {
                         News::Changes(l) => {
@@ -403,7 +403,7 @@
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
         let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
-            return state.told.push_back(Told::Event(Event::Outcome(Ended {
+            return state.pending.push_back(Pending::Event(Event::Outcome(Ended {
                 id,
                 backend,
                 attempt,
@@ -466,7 +466,7 @@
             };
             late = late.max(now - at.0);
             match due {
-                Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
+                Due::Token(token) => state.pending.push_back(Pending::Event(Event::Timer(token))),
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
@@ -476,13 +476,13 @@
                 Due::Request(id) => {
                     if state.open.contains_key(&id) {
                         answer(&mut state, id, Answer::Failed);
-                        state.told.push_back(Told::Event(Event::ClientLeft(id)));
+                        state.pending.push_back(Pending::Event(Event::ClientLeft(id)));
                     }
                 }
             }
             self.decide(state);
         }
-        self.lag.set(late.max(0.8 * self.lag.get()).min(MOST_LAG));
+        self.lag.set(late.max(0.8 * self.lag.get()).min(MAX_LAG));
     }
 
     async fn sweep(self: Rc<Self>) {
@@ -505,6 +505,6 @@
 fn close(state: &mut State, id: RequestId) -> Option<Open> {
     let open = state.open.remove(&id)?;
     state.used.add(id);
-    open.payload.over.set(true);
+    open.payload.ended.set(true);
     Some(open)
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
-use super::backend::MOST_BODY;
+use super::backend::MAX_BODY;
 use super::engine::{Answer, Engine};
 use super::stream::{Stream, Unsent};
 use super::types::{Payload, WireSettings};
@@ -30,7 +30,7 @@
 /// SIGKILL comes no earlier than this after SIGTERM and the longest deadline,
 const KILL_AFTER: Duration = Duration::from_millis(700);
 /// which counts as so much where it is longer.
-const MOST_DEADLINE: Time = 3.0;
+const MAX_DEADLINE: Time = 3.0;
 /// The last answer is out so long before SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
@@ -43,12 +43,12 @@
 /// body of a later one, from its head.
 const WHOLE_TIMEOUT: Duration = Duration::from_millis(2600);
 /// So much of a body that is too large is read, so that the client gets to see the answer.
-const MOST_DISCARDED: usize = 16 * MOST_BODY;
+const MAX_DISCARDED: usize = 16 * MAX_BODY;
 /// How long a connection that is ended here may still send what is dropped: its client sees the end meanwhile. Those
 /// that are given up have gone by the 3 s within which a peer is owed an end.
 const LINGER_CLOSE: Duration = Duration::from_millis(300);
 /// Largest head of a request.
-const MOST_HEAD: usize = 32 << 10;
+const MAX_HEAD: usize = 32 << 10;
 /// Connections beyond the limit that are answered with a refusal, as a part of the limit.
 pub const OVERFLOW: usize = 8;
 
@@ -77,59 +77,60 @@
     /// The connections with bytes of an answer that the system has not taken yet.
     unsent: Unsent,
     /// The connections without a request in hand, the one that has rested longest first.
-    resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
-    rests: Cell<u64>,
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    idles: Cell<u64>,
 }
 
-/// A connection's place among those that may be open.
-struct Place {
+/// A connection of a client, counted among those that may be open.
+struct ClientConnection {
     server: Rc<Server>,
-    /// Its key among the resting ones.
-    rest: Cell<u64>,
-    works: Cell<bool>,
+    /// Its key among the idle ones, the one that has been idle longest first.
+    idle_key: Cell<u64>,
+    busy: Cell<bool>,
     /// It is to make room for another.
     evicted: Rc<Notify>,
 }
 
-impl Place {
+impl ClientConnection {
     fn take(server: Rc<Server>) -> Self {
         server.connections.set(server.connections.get() + 1);
-        let place = Self { server, rest: Cell::default(), works: Cell::default(), evicted: Rc::default() };
-        place.rest();
-        place
+        let client =
+            Self { server, idle_key: Cell::default(), busy: Cell::default(), evicted: Rc::default() };
+        client.idle();
+        client
     }
 
     /// No request is in hand, from now on.
-    fn rest(&self) {
-        let Server { resting, rests, .. } = &*self.server;
-        self.works.set(false);
-        rests.set(rests.get() + 1);
-        self.rest.set(rests.get());
-        resting.borrow_mut().insert(rests.get(), self.evicted.clone());
+    fn idle(&self) {
+        let Server { idle, idles, .. } = &*self.server;
+        self.busy.set(false);
+        idles.set(idles.get() + 1);
+        self.idle_key.set(idles.get());
+        idle.borrow_mut().insert(idles.get(), self.evicted.clone());
     }
 
     /// A request is in hand.
-    fn work(&self) {
-        self.works.set(true);
-        self.server.resting.borrow_mut().remove(&self.rest.get());
+    fn busy(&self) {
+        self.busy.set(true);
+        self.server.idle.borrow_mut().remove(&self.idle_key.get());
     }
 }
 
-impl Place {
-    /// Lingering close: its descriptor counts until then, and it makes room like any that rests.
+impl ClientConnection {
+    /// Lingering close: its descriptor counts until then, and it makes room like any that idles.
     async fn linger(&self, stream: Stream, evicted: bool) {
-        self.rest();
+        self.idle();
         let most = if evicted { STEP } else { LINGER_CLOSE };
         tokio::select! {
-            _ = tokio::time::timeout(most, stream.drain(MOST_DISCARDED)) => {}
+            _ = tokio::time::timeout(most, stream.drain(MAX_DISCARDED)) => {}
             () = self.evicted.notified() => {}
         }
     }
 }
 
-impl Drop for Place {
+impl Drop for ClientConnection {
     fn drop(&mut self) {
-        self.work();
+        self.busy();
         self.server.connections.set(self.server.connections.get() - 1);
         self.server.closed.notify_one();
     }
@@ -167,8 +168,8 @@
             most: connections,
             closed: Notify::new(),
             unsent: Unsent::default(),
-            resting: RefCell::default(),
-            rests: Cell::default(),
+            idle: RefCell::default(),
+            idles: Cell::default(),
         })
     }
 
@@ -188,7 +189,7 @@
             stop.await;
             let longest = self.settings.borrow().classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
             let kill =
-                Duration::try_from_secs_f64(longest.min(MOST_DEADLINE)).unwrap_or_default() + KILL_AFTER;
+                Duration::try_from_secs_f64(longest.min(MAX_DEADLINE)).unwrap_or_default() + KILL_AFTER;
             let answers = kill - KILL_MARGIN;
             self.answer_by.set(Some(Instant::now() + answers));
             eprintln!("dewpier: told to stop");
@@ -232,25 +233,25 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true); // it still works if not
-        // One that rests makes room: whoever only keeps a connection must not keep a client out.
+        // One that idles makes room: whoever only keeps a connection must not keep a client out.
         let full = self.connections.get() >= self.most && !self.evict();
-        let place = Place::take(self);
+        let client = ClientConnection::take(self);
         tokio::task::spawn_local(async move {
-            let stream = Stream::counted(stream, place.server.unsent.clone());
-            let evicted = place.server.converse(&place, &stream, full).await;
-            place.linger(stream, evicted).await;
+            let stream = Stream::counted(stream, client.server.unsent.clone());
+            let evicted = client.server.converse(&client, &stream, full).await;
+            client.linger(stream, evicted).await;
         });
     }
 
     /// Answers one request after another, up to the connection's end; tells whether it had to make room.
-    async fn converse(&self, place: &Place, stream: &Stream, full: bool) -> bool {
+    async fn converse(&self, client: &ClientConnection, stream: &Stream, full: bool) -> bool {
         let mut closing = self.closing.subscribe();
         let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
         let service = service_fn(|request| async {
             let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
-            place.work();
+            client.busy();
             let mut reply = self.reply(request, full, whole_by, stream).await?;
-            place.rest();
+            client.idle();
             if full {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -259,19 +260,19 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MOST_HEAD)
+            .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(stream.clone()), service);
         let mut connection = std::pin::pin!(connection);
         let evicted = tokio::select! {
             biased; // a request that has come is read before the connection is closed
             _ = connection.as_mut() => return false, // its end is no news: clients come and go
             _ = closing.wait_for(|closing| *closing) => false,
-            () = place.evicted.notified() => true,
+            () = client.evicted.notified() => true,
         };
         connection.as_mut().graceful_shutdown();
         if evicted {
             let ended = tokio::time::timeout(STEP, connection.as_mut()).await;
-            if ended.is_ok() || !place.works.get() {
+            if ended.is_ok() || !client.busy.get() {
                 return true; // nothing was sent on it, or no whole head in all that time
             }
         }
@@ -281,7 +282,7 @@
 
     /// Closes the connection that has rested longest; tells whether there was one.
     fn evict(&self) -> bool {
-        let longest = self.resting.borrow_mut().pop_first();
+        let longest = self.idle.borrow_mut().pop_first();
         longest.is_some_and(|(_, evicted)| {
             evicted.notify_one();
             true
@@ -319,9 +320,17 @@
         }
         let id = request.id;
         let headers = onward(head.headers);
-        let once = self.settings.borrow().classes[request.class].effect == Effect::Unsafe;
-        let over = Cell::new(false);
-        let payload = Payload { method: head.method, uri: head.uri, headers, body, once, over, stamp: None };
+        let unsafe_to_repeat = self.settings.borrow().classes[request.class].effect == Effect::Unsafe;
+        let ended = Cell::new(false);
+        let payload = Payload {
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            unsafe_to_repeat,
+            ended,
+            stamp: None,
+        };
         let Some(answer) = self.engine.request(request, payload) else {
             return Ok(plain(StatusCode::BAD_REQUEST, "X-Txn: has been used\n"));
         };
@@ -426,19 +435,19 @@
 /// Reads a body of bounded size. One that is too large is read on for a while and dropped, so
 /// that the client is done writing when the answer comes.
 async fn read(mut body: Incoming) -> Result<Bytes, Reply> {
-    let mut whole = BytesMut::with_capacity(body.size_hint().lower().min(MOST_BODY as u64) as usize);
+    let mut whole = BytesMut::with_capacity(body.size_hint().lower().min(MAX_BODY as u64) as usize);
     let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| plain(StatusCode::BAD_REQUEST, "the body broke off\n"))?;
         let data = frame.into_data().unwrap_or_default();
         length += data.len();
-        if length <= MOST_BODY {
+        if length <= MAX_BODY {
             whole.extend_from_slice(&data);
-        } else if length > MOST_DISCARDED {
+        } else if length > MAX_DISCARDED {
             break;
         }
     }
-    match length <= MOST_BODY {
+    match length <= MAX_BODY {
         true => Ok(whole.freeze()),
         false => Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")),
     }
--- a/src/proxy/types.rs
+++ b/src/proxy/types.rs
@@ -56,9 +56,9 @@
     /// Its body.
     pub body: Bytes,
     /// It must not run twice.
-    pub once: bool,
+    pub unsafe_to_repeat: bool,
     /// It has had its final answer, or its client has left: nothing more of it may be sent.
-    pub over: Cell<bool>,
+    pub ended: Cell<bool>,
     /// What else goes on each attempt, as it is written.
     pub stamp: Option<Stamp>,
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -574,8 +574,8 @@
         uri: "/api".parse().unwrap(),
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "body".into(),
-        once,
-        over: Default::default(),
+        unsafe_to_repeat: once,
+        ended: Default::default(),
         stamp: None,
     }
 }
@@ -654,7 +654,7 @@
     let endpoint = std::rc::Rc::new(Endpoint::new(backend.address, Budget::new(4), LONG, LONG));
     let attempt = |over: bool| {
         let payload = payload(false);
-        payload.over.set(over);
+        payload.ended.set(over);
         let made = attempt(endpoint.clone(), payload.into(), Clock::start(), BOUNDS, Default::default());
         runtime.block_on(made).outcome
     };
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -22,8 +22,8 @@
         uri: "/api".parse().unwrap(),
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "body".into(),
-        once: false,
-        over: Default::default(),
+        unsafe_to_repeat: false,
+        ended: Default::default(),
         stamp: None,
     })
 }
@@ -186,7 +186,7 @@
     let made = attempt(endpoint.clone(), payload.clone(), clock, bounds, Default::default());
     let mut made = Box::pin(made);
     begin(&mut made).await;
-    payload.over.set(true);
+    payload.ended.set(true);
     assert_eq!(made.await.outcome, Outcome::NeverSent);
     assert!(at.try_recv().is_err());
     assert_eq!(send(&endpoint, clock, None).await.outcome, Outcome::Served);
