Keep no ended connection among the idle ones

A connection that was idle when it ended was put among the idle ones once more for its lingering close, and the first of its two entries stayed: making room would have popped it and let no one go. Found by reading; the test fails without the mend. Another test holds a process still while a client goes and its repeat falls due: found right.

--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -100,8 +100,10 @@
         if self.ids.insert(id) {
             self.order.push_back(id);
         }
-        if self.order.len() > USED_IDS {
-            self.order.pop_front().iter().for_each(|oldest| drop(self.ids.remove(oldest)));
+        if self.order.len() > USED_IDS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ids.remove(&oldest);
         }
     }
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -84,7 +84,7 @@
 /// A connection of a client, counted among those that may be open.
 struct ClientConnection {
     server: Rc<Server>,
-    /// Its key among the idle ones, the one that has been idle longest first.
+    /// Its key among the idle ones.
     idle_key: Cell<u64>,
     busy: Cell<bool>,
     /// It is to make room for another.
@@ -104,6 +104,7 @@
     fn idle(&self) {
         let Server { idle, idles, .. } = &*self.server;
         self.busy.set(false);
+        idle.borrow_mut().remove(&self.idle_key.get()); // it may have been idle, and lingers now
         idles.set(idles.get() + 1);
         self.idle_key.set(idles.get());
         idle.borrow_mut().insert(idles.get(), self.evicted.clone());
@@ -114,9 +115,7 @@
         self.busy.set(true);
         self.server.idle.borrow_mut().remove(&self.idle_key.get());
     }
-}
 
-impl ClientConnection {
     /// Lingering close: its descriptor counts until then, and it makes room like any that idles.
     async fn linger(&self, stream: Stream, evicted: bool) {
         self.idle();
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -138,6 +138,23 @@
     assert_eq!(answers[2], "");
 }
 
+/// Connections that have ended hold no place among those that can make room.
+#[tokio::test]
+async fn connections_that_have_ended_do_not_count_as_idle() {
+    let answers = with_server(8, |address| async move {
+        for _ in 0..20 {
+            peer(address, b"GET /-/ready HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n").await;
+        }
+        let mut streams = Vec::new();
+        for _ in 0..9 {
+            streams.push(TcpStream::connect(address).await.unwrap());
+        }
+        [ask(&mut streams[8]).await, ask(&mut streams[0]).await]
+    })
+    .await;
+    assert!(answers[0].contains("not ready") && answers[1].is_empty(), "{answers:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn silent_peers_do_not_keep_a_client_out() {
     let status = with_server(2, |address| async move {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -520,6 +520,33 @@
     assert!(left.elapsed() < Duration::from_secs(10));
 }
 
+/// A process that was held up finds a client's end and the timer of its request due together: the end counts first.
+#[test]
+fn a_client_that_goes_while_the_process_stands_still_is_not_sent_for_again() {
+    let (ended, end) = channel();
+    let silent = |ended: &Sender<()>| {
+        let ended = ended.clone();
+        Played::new(move |_, _| Play::Silence(ended.clone()))
+    };
+    let backends = [silent(&ended), silent(&ended)];
+    let proxy = Proxy::before(&[&backends[0], &backends[1]]);
+    let attempts = || backends[0].count() + backends[1].count();
+    for round in 1..=5 {
+        let mut client = proxy.connect();
+        // It would be repeated after some 0.6 s.
+        client.get_mut().write_all(request("look", 1500).as_bytes()).unwrap();
+        wait_for("attempt", || attempts() == round);
+        proxy.signal("-STOP");
+        drop(client);
+        std::thread::sleep(Duration::from_millis(1000));
+        proxy.signal("-CONT");
+        heard(&end);
+        // What it would still do it has done by the time of another answer.
+        assert_eq!(proxy.ask("GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+        assert_eq!(attempts(), round, "sent again after its client had gone");
+    }
+}
+
 #[test]
 fn sigterm_loses_nothing_that_was_taken() {
     let (release, held) = channel::<()>();
