--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -65,14 +65,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn intervals_are_students() {
-        let (mean, half) = paired(&[1.0, 2.0, 3.0]);
-        // s = 1, t(2) = 4.303: 4.303 / sqrt(3).
-        assert!((mean - 2.0).abs() < 1e-12 && (half - 4.303 / 3f64.sqrt()).abs() < 1e-9);
-        assert_eq!(paired(&[5.0]), (5.0, f64::INFINITY));
-    }
-}
+mod tests;
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -186,30 +186,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test]
-    async fn messages_in_pieces_and_together_are_read_whole_and_bad_ones_are_told() {
-        let (mut far, near) = tokio::io::duplex(1 << 16);
-        let mut conn = Conn::new(near);
-        let two = [answer(200, "OK", "X-A: 1\r\n", b"one"), answer(503, "No", "", b"")].concat();
-        for piece in two.chunks(7) {
-            far.write_all(piece).await.expect("written");
-        }
-        let (one, other) = (conn.read().await.expect("one"), conn.read().await.expect("another"));
-        assert_eq!((one.status(), one.header("x-a"), one.body.as_slice()), (200, Some("1"), &b"one"[..]));
-        assert_eq!((other.status(), conn.is_clean()), (503, true));
-        far.write_all(b"nonsense\r\n\r\n").await.expect("written");
-        assert_eq!(conn.read().await.unwrap_err(), ReadError::Malformed);
-        let mut conn = Conn::new(tokio::io::duplex(16).0);
-        assert_eq!(conn.read().await.unwrap_err(), ReadError::Closed);
-        // The same bytes, for a thread that waits.
-        let mut reader = two.as_slice();
-        let one = read(&mut reader).expect("one");
-        assert_eq!((one.status(), one.header("x-a"), one.body.as_slice()), (200, Some("1"), &b"one"[..]));
-        assert_eq!(read(&mut reader).expect("another").status(), 503);
-        assert_eq!(read(&mut reader).unwrap_err(), ReadError::Closed);
-        assert_eq!(read(&mut &b"nonsense\r\n\r\n"[..]).unwrap_err(), ReadError::Malformed);
-    }
-}
+mod tests;
--- a/lab/src/spec.rs
+++ b/lab/src/spec.rs
@@ -500,48 +500,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SMALL: &str = r#"
-name = "small"
-seconds = 2
-[proxies]
-count = 2
-[load]
-rate = 10
-[[classes]]
-name = "status-check"
-share = 1.0
-work_ms = [10, 20]
-effect = "free"
-on_time = 0.5
-hard_limit = 2
-[[backends]]
-count = 3
-"#;
-
-    fn read(text: &str, set: &[&str]) -> Result<Experiment, SpecError> {
-        let path =
-            std::env::temp_dir().join(format!("fleetlab-spec-{}-{}.toml", std::process::id(), text.len()));
-        std::fs::write(&path, text).expect("written");
-        let set: Vec<_> = set.iter().map(|s| setting(s).expect("a setting")).collect();
-        let read = Experiment::read(&path.display().to_string(), &set);
-        let _ = std::fs::remove_file(&path);
-        read
-    }
-
-    #[test]
-    fn an_unknown_key_is_told_with_its_line_and_bad_values_by_name() {
-        assert_eq!(read(SMALL, &[]).expect("good").backends[0].count, 3);
-        let told = |text: &str, set: &[&str]| read(text, set).expect_err("bad").to_string();
-        let typo = told(&SMALL.replace("rate =", "rat ="), &[]);
-        assert!(typo.contains("rat") && typo.contains("line 7"), "{typo}");
-        assert!(told(SMALL, &["load.rate=-1"]).contains("load.rate"));
-        assert!(told(SMALL, &["list.nodes=2"]).contains("list.nodes"));
-        let fault = format!("{SMALL}\n[[faults]]\nat = 1\nwhat = \"kill\"\nwho = \"proxys 70%\"\n");
-        assert!(told(&fault, &[]).contains("proxys"));
-        let set = read(SMALL, &["proxies.count=7", "backends.0.speed=[1.0, 2.0]"]).expect("set");
-        assert_eq!((set.proxies.count, set.backends[0].speed), (7, [1.0, 2.0]));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/agreement/state/tests.rs
@@ -0,0 +1,139 @@
+//! Tests of `state`.
+
+use super::super::document::tests::sample;
+use super::*;
+use serde_json::json;
+
+struct Log {
+    agreement: Agreement,
+    revision: u64,
+}
+
+impl Log {
+    fn new() -> Self {
+        Self { agreement: Agreement::default(), revision: 1 }
+    }
+
+    fn apply(&mut self, at_ms: u64, command: Command) -> Result<Done, AgreeError> {
+        self.agreement.apply(&command, at_ms, 0, &mut self.revision)
+    }
+
+    fn open(&mut self, at_ms: u64, holds: u64) -> Result<(u64, u32), AgreeError> {
+        match self.apply(at_ms, Command::Open { name: "p".into(), ttl_ms: 1_000, holds })? {
+            Done::Opened { session, slot, .. } => Ok((session, slot)),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn publish(&mut self, at_ms: u64, parent: u64, worth: f64) -> Result<u64, AgreeError> {
+        let mut document = sample();
+        document["classes"][0]["worth"] = json!(worth);
+        let document = Document::parse(document.to_string().as_bytes()).map(Arc::new)?;
+        let (by, note) = ("ops".to_string(), String::new());
+        match self.apply(at_ms, Command::Publish { parent, document, by, note, unix_ms: 0 })? {
+            Done::Published(version) => Ok(version),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn renew(&mut self, at_ms: u64, session: u64, holds: u64) -> Option<String> {
+        let renewal = Renewal { session, holds, ..Renewal::default() };
+        match self.apply(at_ms, Command::Renew { renewals: vec![renewal] }) {
+            Ok(Done::Renewed { mut lost, .. }) => lost.remove(&session),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_offer_is_committed_once_all_have_acknowledged_or_run_out() {
+    let mut log = Log::new();
+    let ((a, slot_a), (b, slot_b)) = (log.open(0, 0).expect("opens"), log.open(0, 0).expect("opens"));
+    assert_eq!((slot_a, slot_b), (0, 1));
+    let first = log.publish(10, 0, 1.0).expect("published");
+    assert_eq!((log.agreement.offered(), log.agreement.committed()), (Some(first), 0));
+    assert_eq!(log.renew(20, a, first), None);
+    assert_eq!(log.agreement.committed(), 0, "b has not acknowledged it");
+    assert_eq!(log.open(30, 0), Err(AgreeError::Behind(first)), "who joins holds it first");
+    // b renews on without a word of it: renewed no more a TTL after the offer, it runs out a TTL later.
+    assert_eq!(log.renew(900, b, 0), None);
+    assert_eq!(log.renew(900, a, first), None);
+    assert!(log.renew(1_011, b, 0).is_some_and(|why| why.contains("not acknowledged")));
+    assert_eq!(log.renew(1_850, a, first), None);
+    log.agreement.tick(1_899, &mut log.revision);
+    assert_eq!((log.agreement.committed(), log.open(1_899, first).expect("opens").1), (0, 2));
+    log.agreement.tick(1_900, &mut log.revision);
+    assert_eq!((log.agreement.committed(), log.agreement.offered()), (first, None));
+    assert_eq!(log.open(1_901, first).expect("opens").1, 1, "its slot is free only now");
+    log.agreement.tick(1_950, &mut log.revision);
+    assert_eq!(log.agreement.members().slots, [0, 1, 2]);
+    assert!(log.agreement.changed() >= log.agreement.members().revision);
+}
+
+#[test]
+fn one_of_two_publishers_is_told_of_the_other_and_a_flood_is_coalesced_with_all_kept() {
+    let mut log = Log::new();
+    let (a, _) = log.open(0, 0).expect("opens");
+    let first = log.publish(1, 0, 1.0).expect("published");
+    assert_eq!(log.publish(1, 0, 2.0), Err(AgreeError::Conflict { parent: 0, head: first }));
+    let mut head = first;
+    for n in 0..100 {
+        head = log.publish(2, head, f64::from(n)).expect("published");
+    }
+    assert_eq!((log.agreement.offered(), log.agreement.versions().len()), (Some(first), 101));
+    assert_eq!(log.renew(3, a, first), None);
+    assert_eq!((log.agreement.committed(), log.agreement.offered()), (first, Some(head)));
+    let fates: Vec<&Fate> = log.agreement.versions().values().map(|v| &v.fate).collect();
+    assert_eq!(fates.iter().filter(|f| ***f == Fate::Superseded).count(), 99);
+    // A late word of the first acknowledges nothing more; one of the second does.
+    assert_eq!(log.renew(4, a, first), None);
+    assert_eq!(log.agreement.committed(), first);
+    assert_eq!(log.renew(4, a, head), None);
+    assert_eq!(log.agreement.committed(), head);
+}
+
+#[test]
+fn a_version_that_one_cannot_apply_is_withdrawn_and_nobody_switches() {
+    let mut log = Log::new();
+    let ((a, _), (b, _)) = (log.open(0, 0).expect("opens"), log.open(0, 0).expect("opens"));
+    let first = log.publish(1, 0, 1.0).expect("published");
+    assert_eq!(log.renew(2, a, first), None);
+    let refuse = |session, version| Command::Refuse {
+        session: Some(session),
+        name: "p".into(),
+        version,
+        why: "classes.x: is not known".into(),
+    };
+    assert_eq!(log.apply(3, refuse(b, first + 9)), Err(AgreeError::NotOffered(first + 9)));
+    assert_eq!(log.apply(3, refuse(b, first)), Ok(Done::Nothing));
+    assert_eq!((log.agreement.committed(), log.agreement.offered(), log.agreement.head()), (0, None, 0));
+    let fate = &log.agreement.version(first).expect("kept").fate;
+    assert_eq!(*fate, Fate::Withdrawn("p: classes.x: is not known".into()));
+    assert_eq!(log.apply(4, refuse(b, first)), Err(AgreeError::NotOffered(first)));
+    assert_eq!(log.apply(2_000, refuse(b, first)), Err(AgreeError::Lost(b)), "it has run out");
+}
+
+#[test]
+fn a_refused_command_changes_nothing_and_history_is_bounded() {
+    let mut log = Log::new();
+    let (a, _) = log.open(0, 0).expect("opens");
+    let mut head = log.publish(1, 0, 1.0).expect("published");
+    assert_eq!(log.renew(1, a, head), None);
+    let before = (log.agreement.clone(), log.revision);
+    let open = |ttl_ms, name: &str| Command::Open { name: name.into(), ttl_ms, holds: 99 };
+    for bad in [open(499, "p"), open(60_001, "p"), open(1_000, ""), open(1_000, "a\nb")] {
+        assert!(log.apply(2, bad).is_err());
+    }
+    assert!(log.apply(2, Command::Close { session: 99 }).is_err());
+    assert!(log.publish(2, head, -1.0).is_err());
+    assert_eq!((log.agreement.clone(), log.revision), before);
+    for n in 0..MOST_VERSIONS + 10 {
+        head = log.publish(2, head, n as f64).expect("published");
+        assert_eq!(log.renew(2, a, head), None);
+    }
+    assert_eq!(log.agreement.versions().len(), MOST_VERSIONS);
+    assert_eq!(log.agreement.bytes, log.agreement.versions().values().map(|v| v.bytes).sum::<usize>());
+    assert_eq!(log.agreement.committed(), head);
+    let kept = serde_json::to_vec(&log.agreement).expect("JSON");
+    assert_eq!(serde_json::from_slice::<Agreement>(&kept).expect("reads"), log.agreement);
+}
--- /dev/null
+++ b/src/registry/store/tests.rs
@@ -0,0 +1,190 @@
+//! Tests of `store`.
+
+use super::*;
+use proptest::prelude::*;
+
+fn instance(n: u8, lifecycle: Lifecycle, weight: f64) -> Instance {
+    Instance {
+        instance_id: format!("s-{n}"),
+        host_port: SocketAddr::from(([127, 0, 0, 1], 7000 + u16::from(n))),
+        zone: "a".into(),
+        machine_type: "m".into(),
+        cell: 0,
+        lifecycle,
+        weight,
+        started_at_ms: 0,
+    }
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let id = (0u8..6).prop_map(|n| format!("s-{n}"));
+    prop_oneof![
+        (0u8..6, any::<bool>(), 1u8..4, 0u64..400_000, 0u64..20_000).prop_map(|(n, d, w, ttl, at)| {
+            let lifecycle = if d { Lifecycle::Draining } else { Lifecycle::Serving };
+            Command::Register { instance: instance(n, lifecycle, f64::from(w)), ttl_ms: ttl, at_ms: at }
+        }),
+        (id.clone(), 0u64..20_000).prop_map(|(instance_id, at_ms)| Command::Heartbeat { instance_id, at_ms }),
+        id.clone().prop_map(|instance_id| Command::Deregister { instance_id }),
+        (id.clone(), -1i8..4)
+            .prop_map(|(instance_id, w)| Command::SetWeight { instance_id, weight: f64::from(w) }),
+        id.prop_map(|instance_id| Command::Drain { instance_id }),
+        (0u64..40_000).prop_map(|at_ms| Command::Expire { at_ms }),
+    ]
+}
+
+proptest! {
+    // A fixed seed, so that every run gives the same verdict.
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x5eed_11a7),
+        ..ProptestConfig::default()
+    })]
+
+    /// A watcher that takes every answer in, from any revision it stopped at, holds the whole list, and
+    /// the revision it sees never goes back; a refused command changes nothing.
+    #[test]
+    fn watchers_end_on_the_whole_list_and_revisions_only_grow(
+        commands in proptest::collection::vec(command(), 1..80),
+        stops in proptest::collection::vec(0usize..80, 0..6),
+    ) {
+        let mut store = Store::default();
+        let mut view: BTreeMap<String, Instance> = BTreeMap::new();
+        let mut seen = 0;
+        for (i, command) in commands.iter().enumerate() {
+            let before = (store.revision(), store.full(), store.clock_ms);
+            match store.apply(command) {
+                Ok(revision) => prop_assert!(revision >= before.0),
+                Err(_) => prop_assert_eq!((store.revision(), store.full(), store.clock_ms), before),
+            }
+            if stops.contains(&i) {
+                continue;
+            }
+            prop_assert_eq!(store.has_news(seen), store.since(seen).is_some());
+            if let Some(answer) = store.since(seen) {
+                prop_assert!(answer.revision > seen);
+                if answer.reset {
+                    view.clear();
+                }
+                for instance in answer.instances {
+                    if instance.lifecycle == Lifecycle::Deleted {
+                        view.remove(&instance.instance_id);
+                    } else {
+                        view.insert(instance.instance_id.clone(), instance);
+                    }
+                }
+                seen = answer.revision;
+            }
+            prop_assert_eq!(view.values().cloned().collect::<Vec<_>>(), store.full().instances);
+        }
+    }
+}
+
+#[test]
+fn an_entry_leaves_after_its_ttl_and_a_heartbeat_keeps_it() {
+    let mut store = Store::default();
+    let register =
+        Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 0 };
+    assert_eq!(store.apply(&register), Ok(2));
+    let beat = Command::Heartbeat { instance_id: "s-1".into(), at_ms: 900 };
+    assert_eq!(store.apply(&beat), Ok(2), "a heartbeat changes no revision");
+    assert_eq!(store.apply(&Command::Expire { at_ms: 1800 }), Ok(2), "kept to 1900");
+    assert_eq!(store.apply(&Command::Expire { at_ms: 1900 }), Ok(3));
+    assert!(store.is_empty());
+    let gone = store.since(2).expect("news");
+    assert_eq!((gone.reset, gone.instances[0].lifecycle), (false, Lifecycle::Deleted));
+}
+
+#[test]
+fn time_in_the_log_never_goes_back_so_a_clock_that_jumps_back_keeps_nothing_longer() {
+    let mut store = Store::default();
+    let register =
+        Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 5000 };
+    store.apply(&register).expect("listed");
+    // A new leader whose clock stands an hour behind stamps its commands with the log's time.
+    assert_eq!(store.stamp(1000), 5000);
+    store.apply(&Command::Heartbeat { instance_id: "s-1".into(), at_ms: 1000 }).expect("kept");
+    store.apply(&Command::Expire { at_ms: 6000 }).expect("expired");
+    assert!(store.is_empty(), "gone at 6000, a TTL after its last heartbeat as the log counts time");
+}
+
+#[test]
+fn a_watch_from_ahead_waits_and_an_old_one_gets_the_whole_list() {
+    let mut store = Store::default();
+    assert_eq!(store.since(1), None);
+    assert_eq!(store.since(9), None, "a watcher that saw a node further on is not sent anything older");
+    for n in 0..(MOST_CHANGES + 2) {
+        let weight = 1.0 + (n % 2) as f64;
+        store
+            .apply(&Command::Register {
+                instance: instance(1, Lifecycle::Serving, weight),
+                ttl_ms: 1000,
+                at_ms: 0,
+            })
+            .expect("listed");
+    }
+    let answer = store.since(1).expect("news");
+    assert!(answer.reset && answer.instances.len() == 1);
+    assert!(!store.since(store.revision() - 1).expect("news").reset);
+}
+
+#[test]
+fn a_list_never_grows_past_what_a_proxy_takes_in() {
+    let mut store = Store::default();
+    let mut full = 0;
+    for n in 0..MOST_ENTRIES {
+        let mut long = instance(1, Lifecycle::Serving, 0.123_456_789);
+        long.instance_id = format!("{n:0>MOST_NAME$}");
+        (long.zone, long.machine_type) = ("z".repeat(MOST_NAME), "m".repeat(MOST_NAME));
+        let register = Command::Register { instance: long, ttl_ms: 1000, at_ms: 0 };
+        full += usize::from(store.apply(&register) == Err(StoreError::Full));
+    }
+    assert!(full > 0 && store.len() + full == MOST_ENTRIES);
+    for id in store.listed.keys().cloned().collect::<Vec<_>>() {
+        store.apply(&Command::Drain { instance_id: id }).expect("drained");
+    }
+    let list = serde_json::to_vec(&store.full().instances).expect("a list").len();
+    assert!(list + 256 < 1 << 20 && list > 1_000_000, "{list} bytes");
+    assert_eq!(store.bytes, Store::restore(store.snapshot()).bytes);
+}
+
+#[test]
+fn a_lease_grant_wakes_no_watcher_of_the_list() {
+    let mut store = Store::default();
+    let register =
+        Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 1000, at_ms: 0 };
+    store.apply(&register).expect("listed");
+    let acquire = Command::Acquire { name: "warm".into(), holder: "p1".into(), ttl_ms: 1000, at_ms: 0 };
+    assert_eq!(store.apply(&acquire), Ok(3));
+    assert_eq!(store.since(2), None, "nothing listed changed after 2");
+    store.apply(&Command::Drain { instance_id: "s-1".into() }).expect("drained");
+    let answer = store.since(2).expect("news");
+    assert_eq!((answer.revision, answer.instances.len()), (4, 1));
+}
+
+#[test]
+fn bad_commands_are_told_and_change_nothing() {
+    let mut store = Store::default();
+    let mut refused = |change: &dyn Fn(&mut Instance)| {
+        let mut bad = instance(1, Lifecycle::Serving, 1.0);
+        change(&mut bad);
+        store.apply(&Command::Register { instance: bad, ttl_ms: 1000, at_ms: 0 }).unwrap_err()
+    };
+    for id in ["", "a b", "a\nb", &"x".repeat(MOST_NAME + 1)] {
+        assert_eq!(refused(&|i| i.instance_id = id.into()), StoreError::Name("instanceId".into()));
+    }
+    assert_eq!(refused(&|i| i.zone = "z\0".into()), StoreError::Name("zone".into()));
+    assert_eq!(refused(&|i| i.machine_type = "é".into()), StoreError::Name("machineType".into()));
+    assert_eq!(refused(&|i| i.host_port.set_port(0)), StoreError::Registration);
+    let bad_ttl = Command::Register { instance: instance(1, Lifecycle::Serving, 1.0), ttl_ms: 10, at_ms: 0 };
+    assert_eq!(store.apply(&bad_ttl), Err(StoreError::Ttl(10)));
+    let deleted =
+        Command::Register { instance: instance(1, Lifecycle::Deleted, 1.0), ttl_ms: 1000, at_ms: 0 };
+    assert_eq!(store.apply(&deleted), Err(StoreError::Registration));
+    let nan = Command::SetWeight { instance_id: "s-1".into(), weight: f64::NAN };
+    assert!(matches!(store.apply(&nan), Err(StoreError::Weight(_))));
+    assert_eq!(
+        store.apply(&Command::Drain { instance_id: "s-9".into() }),
+        Err(StoreError::Unknown("s-9".into()))
+    );
+    assert_eq!(store.revision(), 1);
+}
