--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -311,3 +311,20 @@
     let [by_sockets, by_module] = kept.await;
     assert!(by_sockets <= 2 && by_module <= 20, "{by_sockets} and {by_module} of 500");
 }
+
+/// A list that discovery has told is one to go by, though nothing in it is in service: the process is ready, and refuses.
+#[tokio::test(start_paused = true)]
+async fn a_tier_without_a_backend_in_service_does_not_keep_a_process_from_being_ready() {
+    let local = LocalSet::new();
+    let ready = local.run_until(async {
+        let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
+        let engine = Engine::start(settings, &WireSettings::default(), 1, 8);
+        let draining = Entry { status: Status::Draining, ..Entry::default() };
+        let listed = || Listed { entry: draining.clone(), address: "127.0.0.1:9".parse().unwrap() };
+        engine.news(News::Remembered(vec![listed()]));
+        let before = engine.listed();
+        engine.news(News::Full(vec![listed()]));
+        [before, engine.listed()]
+    });
+    assert_eq!(ready.await, [false, true]);
+}
