--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -806,7 +806,7 @@
     const STEP: Time = 0.01;
     const START: Time = 30.0;
     let settings = Settings { cold: 10.0, cold_share: 0.2, fall_multiple: 3.0, tip_after: 1.0, ..safe() };
-    // Uneven traffic; bursts; all of it at half of what the backends can do; several new at the start; restarts.
+    // Uneven traffic; bursts; all of it at nearly what the backends can do; several new at the start; restarts.
     for (name, uneven, bursts, new_at_start, restarts) in [
         ("even", false, false, 0, false),
         ("uneven", true, false, 0, false),
@@ -829,7 +829,7 @@
                     Member { bench: start(me, 0.0, &list, &mut rng), rate, out: vec![] }
                 })
                 .collect();
-            let capacity = members.iter().map(|m| m.rate).sum::<f64>() / f64::from(BACKENDS) / 0.5;
+            let capacity = members.iter().map(|m| m.rate).sum::<f64>() / f64::from(BACKENDS) / 0.95;
             let cold = 1 + rng.random_range(0..BACKENDS);
             let (mut reached, mut next_id, mut now, mut told) = (Vec::new(), 0, 0.0, false);
             while now < START + settings.cold {
