Spread the calls of proxies that lost all list nodes over the whole way round

The wait to the next node now counts from the call before, so that a node that refuses at once is followed after up to 0.55 s and one that says nothing after up to 0.15 s; the bound of 6 s is as before.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Longest wait for news that a watch call asks for. What discovery has to tell counts as told 2 s after
 /// that wait, and 6 s after it came up, arrived or not: a watch that falls silent, or a list that stops
@@ -37,11 +38,11 @@
 /// Where discovery has several addresses, the wait is drawn ("full jitter") from up to this after the first failure,
 /// so that proxies that lost the same node come to the next one spread out, not together,
 const LEAVING: Duration = Duration::from_millis(300);
-/// up to this on the way round the others,
-const NEXT_NODE: Duration = Duration::from_millis(150);
+/// on the way round the others up to this from the call before, which may have taken long to fail,
+const NEXT_NODE: Duration = Duration::from_millis(550);
 /// and up to this where none of them answered. With `MAX_DISCOVERY` nodes, all but one of which take calls and say
-/// nothing, a change is heard of within 2.6 + 0.3 + 5 x (0.4 + 0.15) s of their falling silent, and within
-/// 2 + 6 x (0.4 + 0.15) s of the one's coming back.
+/// nothing, a change is heard of within 2.6 + 0.3 + 5 x 0.55 s of their falling silent, and within
+/// 2 + 6 x 0.55 s of the one's coming back.
 const NEXT_ROUND: Duration = Duration::from_secs(2);
 /// Largest list taken in: some 6,000 backends. Read and turned into entries, it needs six times as much
 /// memory, of the 32 MB that a proxy may have.
@@ -246,13 +247,13 @@
         self.addresses.borrow().len() > 1
     }
 
-    /// The wait after so many failed calls in a row.
-    fn backoff(&self, failures: usize) -> Duration {
+    /// The wait after so many failed calls in a row, the last of which took so long.
+    fn backoff(&self, failures: usize, took: Duration) -> Duration {
         let most = match failures {
             _ if !self.several() => return (BACKOFF[0] * (1 << (failures - 1).min(8))).min(BACKOFF[1]),
             _ if self.round_is_over(failures) => NEXT_ROUND,
             1 => LEAVING,
-            _ => NEXT_NODE,
+            _ => NEXT_NODE.saturating_sub(took),
         };
         most.mul_f64(self.jitter.borrow_mut().random_range(0.0..=1.0))
     }
@@ -288,6 +289,7 @@
             };
             let path =
                 format!("/api/targets?since={}&timeout_ms={}", self.generation.get(), wait.as_millis());
+            let began = Instant::now();
             let answer = tokio::select! {
                 biased; // an answer that has come is taken in
                 answer = self.call(&path, wait + patience, &mut connection) => answer,
@@ -316,8 +318,9 @@
                 self.watching.set(false);
                 return self.engine.news(News::Refused);
             }
+            let backoff = self.backoff(failures, began.elapsed());
             tokio::select! {
-                () = tokio::time::sleep(self.backoff(failures)) => {}
+                () = tokio::time::sleep(backoff) => {}
                 () = self.moved.notified() => (connection, failures, unheard) = (None, 0, true),
             }
         }
