Answer all that was taken before the process ends, and close nothing over half a request

Cause: after SIGTERM `Server::run` bounded only the requests that came then; once the time for answers had passed it counted idle steps whatever it owed, and ended 3.7 s after SIGTERM with requests in hand. Found by reading as well: SIGTERM read late, connections closed over the first part of a request (at the stop, and after 2.2 s without one), and a connection that makes room dropped with its answer half out.

Change: the module is told when the process is to end and answers every open call by then; the process ends over no answer that it owes; SIGKILL is reckoned from when the process last ran; a connection on which part of a request has come serves that one. hyper's head time-out, which closes over such a part, is replaced by our own.

Tests in peers.rs and decisions.rs.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -335,6 +335,11 @@
     /// Other rules hold from now on, and another place; no place: it is not known who else is alive. Requests in
     /// hand go on as they were begun.
     Rules(&'a Rules, Option<Place>),
+    /// The process is to end: every call that is open now has its final answer by then.
+    Stopping {
+        /// When.
+        answer_by: Time,
+    },
 }
 
 /// What a balancer wants done.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -360,6 +360,7 @@
             Event::Timer(token) => self.timer(token, actions),
             Event::List(update) => self.list(update, actions),
             Event::Rules(rules, place) => self.go_by(rules, place),
+            Event::Stopping { answer_by } => self.bound_calls(answer_by, actions),
         }
     }
 
@@ -389,6 +390,14 @@
         }
     }
 
+    /// Ends every call by `answer_by` at the latest.
+    fn bound_calls(&mut self, answer_by: Time, actions: &mut Vec<Action>) {
+        for (slot, call) in self.calls.iter_mut().filter(|(_, call)| call.until > answer_by) {
+            call.until = answer_by;
+            actions.push(Action::Timer { at: answer_by, token: token(slot, LAST) });
+        }
+    }
+
     // ---- A request arrives ----
 
     fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Time kept for the way of an answer to the client, in seconds: the module's last word comes
 /// this long before the client gives up, and the engine's own, if there was none, at half of it.
@@ -108,6 +109,14 @@
     }
 }
 
+/// The last round of the sweep, which shows whether this process stands still.
+#[derive(Clone, Copy)]
+struct Heartbeat {
+    at: Time,
+    /// How long after the round before it.
+    since_last: Time,
+}
+
 struct State {
     balancer: Balancer,
     pending: VecDeque<Pending>,
@@ -130,6 +139,9 @@
     timer_set: Notify,
     /// How late timers have fired of late: as long may a request have waited to be read.
     lag: Cell<Time>,
+    heartbeat: Cell<Heartbeat>,
+    /// Set once the process is to end: every request has its answer by then.
+    answer_by: Cell<Option<Time>>,
     listed: Cell<bool>,
     discovery: RefCell<Option<WatchList>>,
     /// Asked before every decision, where rules may run out.
@@ -154,6 +166,8 @@
             clock,
             timer_set: Notify::new(),
             lag: Cell::new(0.0),
+            heartbeat: Cell::new(Heartbeat { at: clock.now(), since_last: 0.0 }),
+            answer_by: Cell::new(None),
             listed: Cell::new(false),
             discovery: RefCell::default(),
             guard: RefCell::default(),
@@ -250,6 +264,9 @@
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
         request.budget -= self.lag.get();
+        if let Some(by) = self.answer_by.get() {
+            request.budget = request.budget.min(by - now);
+        }
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
@@ -260,6 +277,31 @@
         Some(receiver)
     }
 
+    /// The process is to end: every request, those that are open included, has its final answer by `by`.
+    pub fn answer_all_by(&self, by: Instant) {
+        let by = self.clock.of(by);
+        self.answer_by.set(Some(by));
+        let mut state = self.state();
+        let unbounded: Vec<RequestId> =
+            state.open.iter().filter(|(_, open)| open.until > by).map(|(id, _)| *id).collect();
+        for id in unbounded {
+            if let Some(open) = state.open.get_mut(&id) {
+                open.until = by;
+            }
+            self.set_timer(&mut state, by, Due::Request(id));
+        }
+        let answer_by = by - 0.5 * ANSWER_WAY;
+        state.pending.push_back(Pending::Event(Event::Stopping { answer_by }));
+        self.decide(state);
+    }
+
+    /// How long this process has just stood still, whoever stopped it; a signal read now may have come as long ago.
+    pub fn recent_stall(&self) -> Duration {
+        let Heartbeat { at, since_last } = self.heartbeat.get();
+        let silence = since_last.max(self.clock.now() - at);
+        Duration::try_from_secs_f64(silence).unwrap_or_default().saturating_sub(SWEEP)
+    }
+
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state();
@@ -490,6 +532,8 @@
     async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
+            let now = self.clock.now();
+            self.heartbeat.set(Heartbeat { at: now, since_last: now - self.heartbeat.get().at });
             let endpoints: Vec<_> = self.state.borrow().endpoints.values().cloned().collect();
             endpoints.iter().for_each(|e| e.sweep());
         }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,7 +2,7 @@
 
 use super::backend::MAX_BODY;
 use super::engine::{Answer, Engine};
-use super::stream::{Stream, Unsent};
+use super::stream::{Stream, Unread, Unsent};
 use super::types::{Payload, WireSettings};
 use crate::{Effect, Request, RequestId, Rules, Settings, Time};
 use bytes::{Bytes, BytesMut};
@@ -10,14 +10,16 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::header::{HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::server::conn::http1::{self, Parts};
+use hyper::service::{HttpService, service_fn};
 use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -26,7 +28,7 @@
 /// How long after SIGTERM clients are accepted at the least: the front goes on for a moment. They go on
 /// using the connections that they have for as long as those stay open, which may be all that is left
 /// to them while another proxy restarts: half of the time for answers is kept for that.
-const LINGER: Duration = Duration::from_millis(550);
+const MIN_DRAIN: Duration = Duration::from_millis(550);
 /// SIGKILL comes no earlier than this after SIGTERM and the longest deadline,
 const KILL_AFTER: Duration = Duration::from_millis(700);
 /// which counts as so much where it is longer.
@@ -67,8 +69,10 @@
     engine: Rc<Engine>,
     settings: RefCell<Settings>,
     wire: WireSettings,
-    /// When SIGTERM has come, all that is taken has to be answered by then.
-    answer_by: Cell<Option<Instant>>,
+    /// SIGTERM has come.
+    draining: Cell<bool>,
+    /// After SIGTERM: no client waits for an answer any longer than until then.
+    given_up_at: Cell<Option<Instant>>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     connections: Cell<usize>,
@@ -87,6 +91,7 @@
     /// Its key among the idle ones.
     idle_key: Cell<u64>,
     busy: Cell<bool>,
+    idle_since: Cell<Instant>,
     /// It is to make room for another.
     evicted: Rc<Notify>,
 }
@@ -94,8 +99,13 @@
 impl ClientConnection {
     fn take(server: Rc<Server>) -> Self {
         server.connections.set(server.connections.get() + 1);
-        let client =
-            Self { server, idle_key: Cell::default(), busy: Cell::default(), evicted: Rc::default() };
+        let client = Self {
+            server,
+            idle_key: Cell::default(),
+            busy: Cell::default(),
+            idle_since: Cell::new(Instant::now()),
+            evicted: Rc::default(),
+        };
         client.idle();
         client
     }
@@ -104,6 +114,7 @@
     fn idle(&self) {
         let Server { idle, idles, .. } = &*self.server;
         self.busy.set(false);
+        self.idle_since.set(Instant::now());
         idle.borrow_mut().remove(&self.idle_key.get()); // it may have been idle, and lingers now
         idles.set(idles.get() + 1);
         self.idle_key.set(idles.get());
@@ -116,6 +127,20 @@
         self.server.idle.borrow_mut().remove(&self.idle_key.get());
     }
 
+    /// Waits until no request has been in hand, and no answer on its way out, for so long.
+    async fn idle_for(&self, most: Duration, stream: &Stream) {
+        loop {
+            if self.busy.get() || stream.holds_unsent() {
+                self.idle_since.set(Instant::now());
+            }
+            let until = self.idle_since.get() + most;
+            if Instant::now() >= until {
+                return;
+            }
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
     /// Lingering close: its descriptor counts until then, and it makes room like any that idles.
     async fn linger(&self, stream: Stream, evicted: bool) {
         self.idle();
@@ -135,6 +160,85 @@
     }
 }
 
+/// Why this side ends a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// The process is to end.
+    Stopping,
+    /// It makes room for another.
+    Evicted,
+    /// No request has come for too long.
+    Idle,
+}
+
+/// A client's connection once all that was answered has been written.
+enum Settled {
+    /// It has ended.
+    Ended,
+    /// A request is in hand.
+    Busy,
+    /// No whole head of a next request has come.
+    BetweenRequests,
+}
+
+type Connection<S> = http1::Connection<TokioIo<Stream>, S>;
+
+/// Waits until a connection without a request in hand has written its last answer.
+async fn settle<S>(connection: &mut Connection<S>, client: &ClientConnection, stream: &Stream) -> Settled
+where
+    S: HttpService<Incoming, ResBody = Full<Bytes>, Error = ClientGone>,
+{
+    std::future::poll_fn(|cx| match Pin::new(&mut *connection).poll(cx) {
+        Poll::Ready(_) => Poll::Ready(Settled::Ended),
+        Poll::Pending if client.busy.get() => Poll::Ready(Settled::Busy),
+        Poll::Pending if stream.holds_unsent() => Poll::Pending,
+        Poll::Pending => Poll::Ready(Settled::BetweenRequests),
+    })
+    .await
+}
+
+/// Waits until the first request on a connection has `begun`, by `head_by`; whether it has.
+async fn begin_by<S>(connection: &mut Connection<S>, head_by: Instant, begun: impl Fn() -> bool) -> bool
+where
+    S: HttpService<Incoming, ResBody = Full<Bytes>, Error = ClientGone>,
+{
+    let first = std::future::poll_fn(|cx| {
+        if begun() {
+            return Poll::Ready(true);
+        }
+        match Pin::new(&mut *connection).poll(cx) {
+            Poll::Ready(_) => Poll::Ready(false),
+            Poll::Pending if begun() => Poll::Ready(true),
+            Poll::Pending => Poll::Pending,
+        }
+    });
+    tokio::time::timeout_at(head_by, first).await.unwrap_or(false)
+}
+
+/// Serves the request in hand, or the next one if its head has come whole by `head_by`, on a connection that ends behind
+/// it.
+async fn serve_last<S>(
+    mut connection: Connection<S>,
+    client: &ClientConnection,
+    stream: &Stream,
+    head_by: Instant,
+) where
+    S: HttpService<Incoming, ResBody = Full<Bytes>, Error = ClientGone>,
+{
+    let ended = tokio::time::timeout_at(head_by, &mut connection).await;
+    if ended.is_err() && (client.busy.get() || stream.holds_unsent()) {
+        let _ = connection.await; // its end is no news
+    }
+}
+
+/// How clients' connections are served. Their times are kept here: hyper's own would close a connection over a
+/// head that has come in part.
+fn http() -> http1::Builder {
+    let mut http = http1::Builder::new();
+    http.header_read_timeout(None).max_buf_size(MAX_HEAD);
+    http
+}
+
 /// Tells the engine that the client has left, if it is dropped before the answer.
 struct Leaving<'a>(&'a Engine, RequestId);
 
@@ -161,7 +265,8 @@
             engine,
             settings: RefCell::new(settings),
             wire,
-            answer_by: Cell::default(),
+            draining: Cell::default(),
+            given_up_at: Cell::default(),
             closing: watch::Sender::new(false),
             connections: Cell::new(0),
             most: connections,
@@ -186,13 +291,7 @@
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            let longest = self.settings.borrow().classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
-            let kill =
-                Duration::try_from_secs_f64(longest.min(MAX_DEADLINE)).unwrap_or_default() + KILL_AFTER;
-            let answers = kill - KILL_MARGIN;
-            self.answer_by.set(Some(Instant::now() + answers));
-            eprintln!("dewpier: told to stop");
-            tokio::time::sleep(LINGER.max(answers / 2)).await;
+            self.drain().await;
         };
         tokio::select! {
             () = accepting => {}
@@ -201,18 +300,44 @@
         // What the system has accepted for us is ours to answer too.
         accepted_by_the_system(listener).into_iter().for_each(|stream| self.clone().serve(stream));
         self.closing.send_replace(true);
-        // A client that neither finishes its request nor goes away must not keep us until SIGKILL.
+        self.closed_or_idle().await;
+    }
+
+    /// SIGTERM has come: sets when all that is taken has to be answered, and lets clients go on for a while.
+    async fn drain(&self) {
+        // A process that stood still reads the signal late, and SIGKILL counts from when it was sent.
+        let sent = Instant::now() - self.engine.recent_stall();
+        let longest = self.longest_deadline();
+        let kill = Duration::try_from_secs_f64(longest.min(MAX_DEADLINE)).unwrap_or_default() + KILL_AFTER;
+        let answers = kill - KILL_MARGIN;
+        self.draining.set(true);
+        self.engine.answer_all_by(sent + answers);
+        let patience = Duration::try_from_secs_f64(longest).unwrap_or_default() + KILL_AFTER;
+        self.given_up_at.set(Some(sent + patience));
+        eprintln!("dewpier: told to stop");
+        tokio::time::sleep_until(sent + MIN_DRAIN.max(answers / 2)).await;
+    }
+
+    /// The longest deadline of a class, in seconds.
+    fn longest_deadline(&self) -> Time {
+        self.settings.borrow().classes.iter().map(|c| c.deadline).fold(0.0, Time::max)
+    }
+
+    /// Waits until no connection is left, or none of those left has had a request or an answer in hand for a while: a
+    /// client that neither finishes its request nor goes away must not keep the process until SIGKILL. It never
+    /// ends over an answer that is owed, as that loses the request; SIGKILL may come later than it could.
+    async fn closed_or_idle(&self) {
         let mut idle = 0;
         while self.connections.get() > 0 && idle < IDLE_STEPS {
             let _ = tokio::time::timeout(STEP, self.closed.notified()).await;
             let busy = self.engine.owes_answers() || self.unsent.get() > 0;
-            idle = if busy && !self.killed_soon() { 0 } else { idle + 1 };
+            idle = if busy && !self.clients_have_given_up() { 0 } else { idle + 1 };
         }
     }
 
-    /// Too late for what still has to be answered.
-    fn killed_soon(&self) -> bool {
-        self.answer_by.get().is_some_and(|by| Instant::now() > by)
+    /// So long after SIGTERM that no client waits for an answer any more.
+    fn clients_have_given_up(&self) -> bool {
+        self.given_up_at.get().is_some_and(|at| Instant::now() > at)
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
@@ -256,26 +381,41 @@
             }
             Ok::<_, ClientGone>(reply)
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD)
-            .serve_connection(TokioIo::new(stream.clone()), service);
-        let mut connection = std::pin::pin!(connection);
-        let evicted = tokio::select! {
+        let mut connection = http().serve_connection(TokioIo::new(stream.clone()), service);
+        let ending = tokio::select! {
             biased; // a request that has come is read before the connection is closed
-            _ = connection.as_mut() => return false, // its end is no news: clients come and go
-            _ = closing.wait_for(|closing| *closing) => false,
-            () = client.evicted.notified() => true,
+            _ = &mut connection => return false, // its end is no news: clients come and go
+            _ = closing.wait_for(|closing| *closing) => Ending::Stopping,
+            () = client.evicted.notified() => Ending::Evicted,
+            () = client.idle_for(HEAD_TIMEOUT, stream) => Ending::Idle,
         };
-        connection.as_mut().graceful_shutdown();
-        if evicted {
-            let ended = tokio::time::timeout(STEP, connection.as_mut()).await;
-            if ended.is_ok() || !client.busy.get() {
-                return true; // nothing was sent on it, or no whole head in all that time
+        let evicted = ending == Ending::Evicted;
+        let patience = if evicted { STEP } else { HEAD_TIMEOUT };
+        let head_by = first_by.get().filter(|_| !evicted).unwrap_or_else(|| Instant::now() + patience);
+        if ending == Ending::Stopping {
+            // The first request on a new connection may be on its way.
+            let begun = begin_by(&mut connection, head_by, || first_by.get().is_none()).await;
+            if !begun {
+                return evicted;
+            }
+        }
+        match settle(&mut connection, client, stream).await {
+            Settled::Ended => return evicted,
+            Settled::Busy => {
+                Pin::new(&mut connection).graceful_shutdown();
+                serve_last(connection, client, stream, head_by).await;
+            }
+            Settled::BetweenRequests => {
+                let Parts { read_buf, service, .. } = connection.into_parts();
+                if !read_buf.is_empty() || stream.unread() == Unread::Bytes {
+                    // A request has come in part: it is served, and the connection ends behind it.
+                    stream.put_back(read_buf);
+                    let last =
+                        http().keep_alive(false).serve_connection(TokioIo::new(stream.clone()), service);
+                    serve_last(last, client, stream, head_by).await;
+                }
             }
         }
-        let _ = connection.await;
         evicted
     }
 
@@ -296,7 +436,7 @@
         stream: &Stream,
     ) -> Result<Reply, ClientGone> {
         if request.uri().path() == "/-/ready" {
-            return Ok(match self.engine.listed() && self.answer_by.get().is_none() {
+            return Ok(match self.engine.listed() && !self.draining.get() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             });
@@ -307,16 +447,13 @@
             Ok(Err(problem)) => return Ok(problem),
             Err(_) => return Ok(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
-        let mut request = match self.request(&head.headers) {
+        let request = match self.request(&head.headers) {
             Ok(request) => request,
             Err(problem) => return Ok(plain(StatusCode::BAD_REQUEST, problem)),
         };
         if full {
             return Ok(self.refusal("too many connections\n", None));
         }
-        if let Some(by) = self.answer_by.get() {
-            request.budget = request.budget.min(by.saturating_duration_since(Instant::now()).as_secs_f64());
-        }
         let id = request.id;
         let headers = onward(head.headers);
         let unsafe_to_repeat = self.settings.borrow().classes[request.class].effect == Effect::Unsafe;
@@ -328,6 +465,7 @@
             body,
             unsafe_to_repeat,
             ended,
+            client_has_gone: Box::new(stream.end_check()),
             stamp: None,
         };
         let Some(answer) = self.engine.request(request, payload) else {
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that stays in hand while hyper drives it: what lies unread on it, whether its peer has gone, and
 //! whether all that was written has left this process can be asked beside the bytes that hyper reads and writes.
 
+use bytes::Bytes;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -35,6 +36,8 @@
 
 struct Inner {
     stream: RefCell<TcpStream>,
+    /// Bytes that were read and handed back, to be read again first.
+    put_back: RefCell<Bytes>,
     /// The peer's end has been read.
     ended: Cell<bool>,
     /// It counts in the gauge.
@@ -54,8 +57,23 @@
 
     /// The same, counted in `unsent` while it holds bytes not yet handed to the system.
     pub fn counted(stream: TcpStream, unsent: Unsent) -> Self {
-        let (stream, ended, counted) = (RefCell::new(stream), Cell::default(), Cell::default());
-        Self(Rc::new(Inner { stream, ended, counted, unsent }))
+        Self(Rc::new(Inner {
+            stream: RefCell::new(stream),
+            put_back: RefCell::default(),
+            ended: Cell::default(),
+            counted: Cell::default(),
+            unsent,
+        }))
+    }
+
+    /// Hands back what was read too far: it is read again before anything else.
+    pub fn put_back(&self, bytes: Bytes) {
+        self.0.put_back.replace(bytes);
+    }
+
+    /// Some of what was written has not been handed to the system yet.
+    pub fn holds_unsent(&self) -> bool {
+        self.0.counted.get()
     }
 
     /// What lies unread at this moment, whether or not the runtime has heard of it.
@@ -69,6 +87,16 @@
         }
     }
 
+    /// Tells, whenever it is asked, whether the peer has gone: whether the connection has ended here, or its end lies unread.
+    /// It does not keep the connection open.
+    pub fn end_check(&self) -> impl Fn() -> bool + 'static {
+        let inner = Rc::downgrade(&self.0);
+        move || {
+            let stream = inner.upgrade().map(Stream);
+            stream.is_none_or(|stream| matches!(stream.unread(), Unread::End | Unread::Broken))
+        }
+    }
+
     /// Ends once the peer has closed or reset the connection, though bytes may lie unread before that end: whoever
     /// reads no further, as hyper does behind the beginning of a next request, hears of no end.
     pub async fn closed_by_peer(&self) {
@@ -125,6 +153,13 @@
 
 impl AsyncRead for Stream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut put_back = self.0.put_back.borrow_mut();
+        if !put_back.is_empty() {
+            let fits = put_back.len().min(buf.remaining());
+            let again = put_back.split_to(fits);
+            buf.put_slice(&again);
+            return Poll::Ready(Ok(()));
+        }
         let (before, room) = (buf.filled().len(), buf.remaining());
         let read = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
         if let Poll::Ready(result) = &read {
--- a/src/proxy/types.rs
+++ b/src/proxy/types.rs
@@ -36,6 +36,11 @@
         unix - self.unix
     }
 
+    /// The time of an instant, 0 for one before the start.
+    pub fn of(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.start).as_secs_f64()
+    }
+
     /// The instant of a time of this clock.
     pub fn at(&self, time: Time) -> Instant {
         self.start + Duration::try_from_secs_f64(time).unwrap_or_default()
@@ -59,6 +64,8 @@
     pub unsafe_to_repeat: bool,
     /// It has had its final answer, or its client has left: nothing more of it may be sent.
     pub ended: Cell<bool>,
+    /// Whether its client has gone, as the system knows it: the runtime may not have heard of that yet.
+    pub client_has_gone: Box<dyn Fn() -> bool>,
     /// What else goes on each attempt, as it is written.
     pub stamp: Option<Stamp>,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1217,3 +1217,29 @@
     }
     assert_eq!(sends(&b.request(100)).len(), 1);
 }
+
+/// Whatever time a call has left, its process ends before that: each call has its final answer by then.
+#[test]
+fn when_the_process_is_to_end_every_open_call_is_answered_by_then() {
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        let mut bench = Bench::new(with(effect), &[entry(1), entry(2)]);
+        bench.request_for(1, 20.0);
+        bench.now = 0.2;
+        bench.request_for(2, 0.3);
+        bench.event(Event::Stopping { answer_by: 0.9 });
+        let answers: Vec<(Time, Action)> = bench
+            .run_to(2.0)
+            .into_iter()
+            .filter(|(_, action)| matches!(action, Action::Refuse { .. } | Action::Fail { .. }))
+            .collect();
+        let at = |id| {
+            let of = |action: &Action| {
+                refused(std::slice::from_ref(action), id) || failed(std::slice::from_ref(action), id)
+            };
+            answers.iter().filter(|(_, action)| of(action)).map(|(at, _)| *at).collect::<Vec<Time>>()
+        };
+        assert_eq!(at(1), [0.9], "{effect:?}");
+        assert!(at(2)[0] <= 0.5 && at(2).len() == 1, "{effect:?}: {:?}", at(2));
+        assert_eq!(bench.balancer.open_requests(), 0);
+    }
+}
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -236,6 +236,94 @@
     assert!(took < Duration::from_millis(killed - 300), "{took:?}");
 }
 
+/// SIGKILL comes so long after SIGTERM at the earliest, where deadlines are 3 s or longer.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
+
+/// A backend that takes every request and answers none.
+async fn silent_backend(backend: &TcpListener) {
+    let mut taken = Vec::new();
+    while let Ok((stream, _)) = backend.accept().await {
+        taken.push(stream);
+    }
+}
+
+/// Deadlines longer than the time up to SIGKILL: a request of before SIGTERM has more time left than the process.
+#[tokio::test(start_paused = true)]
+async fn a_request_taken_before_sigterm_is_answered_before_sigkill_whatever_time_it_has_left() {
+    let stop = Duration::from_millis(500);
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let class = Class { aim: 20.0, deadline: 20.0, effect, ..Class::default() };
+        let address = backend.local_addr().ok();
+        let request = format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n");
+        let play = |address| async move {
+            tokio::select! {
+                answer = peer(address, request.as_bytes()) => answer,
+                () = silent_backend(&backend) => unreachable!("it takes requests for ever"),
+            }
+        };
+        let (got, took) = with_backend(address, class, 8, tokio::time::sleep(stop), play).await;
+        assert!(got.starts_with(b"HTTP/1.1 5"), "{effect:?}: {}", String::from_utf8_lossy(&got));
+        assert!(took < stop + EARLIEST_KILL, "{effect:?}: {took:?}");
+    }
+}
+
+/// SIGKILL may come later than it could: whoever ends over an answer that is owed has lost the request.
+#[tokio::test(start_paused = true)]
+async fn the_process_does_not_end_while_an_answer_is_on_its_way_though_sigkill_could_have_come() {
+    let stop = Duration::from_millis(500);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap(); // its connections have the same
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let (ended, seen) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let (watched, ended_early) = (ended.clone(), seen.clone());
+    let play = |address| async move {
+        let (go, told) = oneshot::channel();
+        go.send(()).unwrap();
+        let client = async {
+            let mut stream = slow_reader(address).await;
+            let text = format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            tokio::time::sleep(stop + EARLIEST_KILL + Duration::from_secs(1)).await;
+            ended_early.set(watched.get());
+            read_slowly(&mut stream).await
+        };
+        tokio::join!(client, long_answer(&backend, told)).0
+    };
+    let stopped = tokio::time::sleep(stop);
+    let got = with_listener(listener, ended, address, unsafe_class(), 8, stopped, play).await;
+    assert!(!seen.get(), "the process would have ended before the answer was out");
+    assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
+}
+
+/// A process that is stopped around its SIGTERM reads it late; SIGKILL counts from when it was sent.
+#[tokio::test(start_paused = true)]
+async fn a_sigterm_that_is_read_late_moves_no_answer_towards_sigkill() {
+    let (stop, stood_still) = (Duration::from_millis(500), Duration::from_secs(2));
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let class = Class { aim: 20.0, deadline: 20.0, effect: Effect::Unsafe, ..Class::default() };
+    let request = format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n");
+    let begin = Instant::now();
+    let play = |address| async move {
+        tokio::select! {
+            answer = peer(address, request.as_bytes()) => answer.0,
+            () = silent_backend(&backend) => unreachable!("it takes requests for ever"),
+        }
+    };
+    let stopped = async move {
+        tokio::time::sleep(stop).await;
+        tokio::time::advance(stood_still).await; // SIGTERM came at the beginning of it
+    };
+    let got = with_backend(address, class, 8, stopped, play).await;
+    let took = begin.elapsed();
+    assert!(got.starts_with(b"HTTP/1.1 5"), "{}", String::from_utf8_lossy(&got));
+    assert!(took < stop + EARLIEST_KILL, "{took:?}");
+}
+
 // ---- how connections to clients end ----
 
 /// So much time passes, in which all that is on its way on loopback arrives.
@@ -360,6 +448,118 @@
     assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
 }
 
+/// Answers every request on every connection at once.
+async fn prompt_backend(backend: &TcpListener) {
+    loop {
+        let (mut stream, _) = backend.accept().await.unwrap();
+        tokio::task::spawn_local(async move {
+            loop {
+                let mut got = Vec::new();
+                while !got.ends_with(b"\r\n\r\n") {
+                    if !stream.read_buf(&mut got).await.is_ok_and(|read| read > 0) {
+                        return;
+                    }
+                }
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved";
+                if stream.write_all(answer).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Reads one answer to its end; empty if the connection ends without.
+async fn one_answer(stream: &mut TcpStream) -> String {
+    let mut got = Vec::new();
+    while !got.ends_with(b"served") && stream.read_buf(&mut got).await.is_ok_and(|read| read > 0) {}
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+/// The n-th request of a client.
+fn numbered_request(number: u8) -> String {
+    format!("{HEAD}X-Remaining-Ms: 20000\r\n\r\n").replace("X-Txn: 9", &format!("X-Txn: {number}"))
+}
+
+/// Sends a request whole, and then one in two pieces: at `first` and `second` after the answer to the first one.
+/// Tells what comes for the second.
+async fn second_request_in_pieces(first: Duration, second: Duration, stop: Option<Duration>) -> String {
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let client = |address| async move {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.write_all(numbered_request(1).as_bytes()).await.unwrap();
+        assert!(one_answer(&mut stream).await.contains("served"));
+        let begin = Instant::now();
+        let request = numbered_request(2);
+        let (head, rest) = request.split_at(request.len() / 2);
+        tokio::time::sleep_until(begin + first).await;
+        stream.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep_until(begin + second).await;
+        let _ = stream.write_all(rest.as_bytes()).await; // it may be closed
+        one_answer(&mut stream).await
+    };
+    let play = |address| async move {
+        tokio::select! {
+            answer = client(address) => answer,
+            () = prompt_backend(&backend) => unreachable!("it takes connections for ever"),
+        }
+    };
+    let stopped = async move {
+        match stop {
+            Some(at) => tokio::time::sleep(at).await,
+            None => std::future::pending().await,
+        }
+    };
+    with_backend(address, unsafe_class(), 8, stopped, play).await
+}
+
+/// A connection on which a part of a request has come is not between two requests: the rest may be on its way, and the
+/// request is taken once that has come.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_has_come_in_part_when_connections_are_closed_is_served() {
+    let ms = Duration::from_millis;
+    // Told to stop at once, connections without a request in hand are closed after half of 3.2 s.
+    let answer = second_request_in_pieces(ms(1590), ms(1610), Some(ms(0))).await;
+    assert!(answer.contains(" 200 ") && answer.contains("connection: close"), "{answer:?}");
+}
+
+/// The same where a connection has been idle for so long that it is closed.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_has_come_in_part_when_an_idle_connection_is_closed_is_served() {
+    let ms = Duration::from_millis;
+    let answer = second_request_in_pieces(ms(2190), ms(2210), None).await;
+    assert!(answer.contains(" 200 "), "{answer:?}");
+}
+
+/// A connection that makes room for another has its answer first, however slowly that is read.
+#[tokio::test(start_paused = true)]
+async fn a_slow_reader_whose_connection_is_to_make_room_has_its_whole_answer() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap(); // its connections have the same
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let play = |address| async move {
+        let (go, told) = oneshot::channel();
+        go.send(()).unwrap();
+        let client = async {
+            let mut stream = slow_reader(address).await;
+            stream.write_all(numbered_request(1).as_bytes()).await.unwrap();
+            tokio::time::sleep(MOMENT).await;
+            let _other = TcpStream::connect(address).await.unwrap(); // there is room for one
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            read_slowly(&mut stream).await
+        };
+        tokio::join!(client, long_answer(&backend, told)).0
+    };
+    let class = unsafe_class();
+    let got = with_listener(listener, Rc::default(), address, class, 1, std::future::pending(), play).await;
+    assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
+}
+
 /// hyper reads no further than the beginning of a next request, and so hears of no end behind it.
 #[tokio::test(start_paused = true)]
 async fn a_client_that_pipelines_a_byte_and_goes_is_noticed_and_nothing_more_is_sent() {
