Keep connections that come up late, and send nothing for a client whose end is there

Cause: a connection that came up after its attempt was given up was thrown away though the backend had paid for it.

Change: a connection in the making stays with its endpoint until the request's time is over, makes room first where the budget is full, and goes with its backend. Before an attempt is written the system is asked whether its client has gone.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -206,6 +206,8 @@
 pub struct Endpoint {
     address: Cell<SocketAddr>,
     idle: RefCell<Vec<Idle>>,
+    /// Connections that are being made for no attempt any more.
+    late: RefCell<Vec<Making>>,
     /// Set while it drains or is gone.
     last_send: Cell<Option<Time>>,
     /// It is off the list.
@@ -223,6 +225,7 @@
         Self {
             address: Cell::new(address),
             idle: RefCell::default(),
+            late: RefCell::default(),
             last_send: Cell::new(None),
             gone: Cell::new(false),
             epoch: Cell::new(0),
@@ -258,17 +261,31 @@
     pub fn release(&self) {
         self.epoch.set(self.epoch.get() + 1);
         self.idle.borrow_mut().clear();
+        self.late.borrow_mut().clear();
+    }
+
+    /// Starts to make a connection.
+    fn make(&self, permit: Permit, until: Instant) -> Making {
+        let address = self.address.get();
+        let within = self.connect_timeout.max(until.saturating_duration_since(Instant::now()));
+        let making = Box::pin(connect(address, within));
+        Making { making, address, permit, until, epoch: self.epoch.get() }
     }
 
     /// Closes connections that have been idle too long, or that the backend has closed.
     pub fn sweep(&self) {
+        self.take_in_late();
         let fresh = |idle: &Idle| idle.since.elapsed() < self.reuse_within;
         let swept = self.idle.take().into_iter().filter(fresh).filter_map(Idle::still_up).collect();
         self.idle.replace(swept);
     }
 
-    /// Closes the connection that has been idle longest; tells whether there was one.
+    /// Gives up a connection that is made for no attempt any more, or closes the one that has been idle longest; tells
+    /// whether there was one.
     pub fn evict(&self) -> bool {
+        if self.late.borrow_mut().pop().is_some() {
+            return true;
+        }
         let mut idle = self.idle.borrow_mut();
         !idle.is_empty() && {
             drop(idle.remove(0));
@@ -298,8 +315,9 @@
         Some(idle.remove(at))
     }
 
-    /// An idle connection or a new one.
-    async fn connection(&self, unsafe_to_repeat: bool) -> Option<(UpstreamConnection, Permit)> {
+    /// An idle connection, if one is good; those that are not are dropped.
+    fn good_idle(&self, unsafe_to_repeat: bool) -> Option<(UpstreamConnection, Permit)> {
+        self.take_in_late();
         while let Some(idle) = self.idle(unsafe_to_repeat) {
             if idle.since.elapsed() < self.reuse_within
                 && let Some(idle) = idle.still_up()
@@ -307,14 +325,94 @@
                 return Some((idle.upstream, idle.permit));
             }
         }
-        let permit = self.budget.take()?;
+        None
+    }
+
+    /// An idle connection or a new one, for an attempt that ends by `until`. None where there is none within the connect
+    /// time-out: the one that was begun goes on and, should it come up by `until`, is kept for other requests, as the
+    /// backend has paid for it by then.
+    async fn connection(
+        self: &Rc<Self>,
+        unsafe_to_repeat: bool,
+        until: Instant,
+    ) -> Option<(UpstreamConnection, Permit)> {
+        if let Some(found) = self.good_idle(unsafe_to_repeat) {
+            return Some(found);
+        }
+        let mut opening = Opening::begin(self, self.budget.take()?, until);
+        let given_up = Instant::now() + self.connect_timeout;
+        loop {
+            let look_again = (Instant::now() + LATE_ANSWER).min(given_up);
+            let opened = tokio::time::timeout_at(look_again, opening.up()).await;
+            if let Ok(opened) = opened {
+                return opened;
+            }
+            // Another request's connection may be free before this one is up.
+            if let Some(found) = self.good_idle(unsafe_to_repeat) {
+                return Some(found);
+            }
+            if look_again == given_up {
+                return None;
+            }
+        }
+    }
+
+    /// Keeps the connections that have come up after their attempts had ended, and gives up those that take too long.
+    fn take_in_late(&self) {
+        let mut cx = Context::from_waker(Waker::noop());
+        for mut late in self.late.take() {
+            match late.making.as_mut().poll(&mut cx) {
+                Poll::Pending if Instant::now() < late.until => self.late.borrow_mut().push(late),
+                Poll::Ready(Ok(upstream)) if late.address == self.address.get() => {
+                    self.keep(upstream, late.permit, late.epoch, false);
+                }
+                Poll::Pending | Poll::Ready(_) => {}
+            }
+        }
+    }
+}
+
+/// A connection that is being made.
+struct Making {
+    making: Pin<Box<dyn Future<Output = io::Result<UpstreamConnection>>>>,
+    address: SocketAddr,
+    permit: Permit,
+    until: Instant,
+    /// The endpoint's when it was begun.
+    epoch: u64,
+}
+
+/// A connection that is being made for an attempt. Dropped before it is up, it is left to the endpoint.
+struct Opening {
+    endpoint: Rc<Endpoint>,
+    making: Option<Making>,
+}
+
+impl Opening {
+    fn begin(endpoint: &Rc<Endpoint>, permit: Permit, until: Instant) -> Self {
+        Self { endpoint: endpoint.clone(), making: Some(endpoint.make(permit, until)) }
+    }
+
+    /// Waits until it is up; none if it fails.
+    async fn up(&mut self) -> Option<(UpstreamConnection, Permit)> {
         loop {
-            let address = self.address.get();
-            let upstream = connect(address, self.connect_timeout).await.ok()?;
-            // It may be listed elsewhere by now, and its old address be another's.
-            if self.address.get() == address {
+            let making = self.making.as_mut()?;
+            let upstream = making.making.as_mut().await;
+            let Making { address, permit, until, .. } = self.making.take()?;
+            let upstream = upstream.ok()?;
+            if self.endpoint.address.get() == address {
                 return Some((upstream, permit));
             }
+            // It is listed elsewhere by now, and its old address may be another's.
+            self.making = Some(self.endpoint.make(permit, until));
+        }
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        if let Some(making) = self.making.take() {
+            self.endpoint.late.borrow_mut().push(making);
         }
     }
 }
@@ -363,7 +461,7 @@
 }
 
 async fn exchange(
-    endpoint: &Endpoint,
+    endpoint: &Rc<Endpoint>,
     clock: &Clock,
     written: &Cell<bool>,
     payload: &Payload,
@@ -371,12 +469,14 @@
 ) -> Done {
     let epoch = endpoint.epoch.get();
     let (mut upstream, permit, answer) = loop {
-        let Some((mut upstream, permit)) = endpoint.connection(payload.unsafe_to_repeat).await else {
+        let Some((mut upstream, permit)) =
+            endpoint.connection(payload.unsafe_to_repeat, clock.at(until)).await
+        else {
             return Done::without_answer(Outcome::NoConnection);
         };
-        // The request may have had its answer while the connection came up, or repeats be let run twice by now;
-        // the connection then serves another.
-        if payload.ended.get() || send_by.is_some_and(|by| clock.now() >= by) {
+        // The request may have had its answer while the connection came up, its client have gone, or repeats be let run
+        // twice by now; the connection then serves another.
+        if payload.ended.get() || (payload.client_has_gone)() || send_by.is_some_and(|by| clock.now() >= by) {
             endpoint.keep(upstream, permit, epoch, false);
             return Done::without_answer(Outcome::NeverSent);
         }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -380,3 +380,6 @@
         called.await.unwrap_or(Err(CallError::Late))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -603,6 +603,7 @@
         body: "body".into(),
         unsafe_to_repeat: once,
         ended: Default::default(),
+        client_has_gone: Box::new(|| false),
         stamp: None,
     }
 }
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -24,6 +24,7 @@
         body: "body".into(),
         unsafe_to_repeat: false,
         ended: Default::default(),
+        client_has_gone: Box::new(|| false),
         stamp: None,
     })
 }
@@ -192,6 +193,115 @@
     assert_eq!(send(&endpoint, clock, None).await.outcome, Outcome::Served);
 }
 
+/// A listener whose system takes no further connection: those to it come up once others have been accepted.
+fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener = TcpListener::from(listener);
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+/// A connection that comes up after its attempt was given up is as good as any other, and has cost the backend as much.
+#[test]
+fn a_connection_that_comes_up_late_carries_the_next_request() {
+    let (listener, queued) = full_listener();
+    let address = listener.local_addr().unwrap();
+    let budget = Budget::new(1);
+    let endpoint = Rc::new(Endpoint::new(address, budget, Duration::from_millis(20), LONG));
+    let clock = Clock::start();
+    run(async {
+        assert_eq!(send(&endpoint, clock, None).await.outcome, Outcome::NoConnection);
+        // Its system sends the call for the connection again until there is room.
+        let serving = std::thread::spawn(move || {
+            for _ in 0..queued.len() {
+                listener.accept().unwrap();
+            }
+            drop(queued);
+            let (mut stream, _) = listener.accept().unwrap();
+            read_request(&mut stream).unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1").unwrap();
+            read_request(&mut stream)
+        });
+        // There is room for one connection in all: every further attempt has to wait for that one.
+        let mut outcome = Outcome::NoConnection;
+        while outcome == Outcome::NoConnection && clock.now() < LONG.as_secs_f64() {
+            outcome = send(&endpoint, clock, None).await.outcome;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(outcome, Outcome::Served);
+        endpoint.release();
+        assert_eq!(serving.join().unwrap(), None, "nothing further is sent");
+    });
+}
+
+/// The connection is up, the process has not heard of it, and its attempt is given up: nothing goes out on it, and it
+/// carries the next request.
+#[test]
+fn a_connection_that_comes_up_as_its_attempt_is_given_up_carries_the_next_request() {
+    let (address, at) = named("it");
+    let budget = Budget::new(1);
+    let endpoint = Rc::new(Endpoint::new(address, budget.clone(), LONG, LONG));
+    run(async {
+        let bounds = Bounds { until: 20.0, send_by: None };
+        let made = attempt(endpoint.clone(), payload(), Clock::start(), bounds, Default::default());
+        let mut made = Box::pin(made);
+        begin(&mut made).await;
+        // On loopback the system has made it by now; nobody has waited for it.
+        drop(made);
+        assert!(budget.full(), "its descriptor is counted");
+        let clock = Clock::start();
+        let mut outcome = Outcome::NoConnection;
+        while outcome == Outcome::NoConnection && clock.now() < LONG.as_secs_f64() {
+            outcome = send(&endpoint, clock, None).await.outcome;
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(outcome, Outcome::Served);
+    });
+    assert_eq!(at.try_iter().count(), 1, "one request has come");
+}
+
+/// A connection that is made for no attempt any more makes room for one that is needed.
+#[test]
+fn a_connection_that_is_late_makes_room_and_is_given_up_with_its_backend() {
+    let (listener, _queued) = full_listener();
+    let budget = Budget::new(1);
+    let address = listener.local_addr().unwrap();
+    let endpoint = Rc::new(Endpoint::new(address, budget.clone(), Duration::from_millis(20), LONG));
+    run(async {
+        for give_up in [Endpoint::evict, |endpoint: &Endpoint| {
+            endpoint.release();
+            true
+        }] {
+            assert_eq!(send(&endpoint, Clock::start(), None).await.outcome, Outcome::NoConnection);
+            assert!(budget.full());
+            assert!(give_up(&endpoint) && !budget.full());
+        }
+    });
+}
+
+/// A process that stood still hears of a timer before it hears of its client's end, and has a connection at hand.
+#[test]
+fn nothing_is_sent_for_a_client_whose_end_the_system_has() {
+    let (address, at) = named("it");
+    let endpoint = endpoint(address);
+    run(async {
+        let gone = Rc::into_inner(payload())
+            .map(|payload| Payload { client_has_gone: Box::new(|| true), ..payload });
+        let bounds = Bounds { until: 20.0, send_by: None };
+        let done =
+            attempt(endpoint.clone(), Rc::new(gone.unwrap()), Clock::start(), bounds, Default::default());
+        assert_eq!(done.await.outcome, Outcome::NeverSent);
+        assert!(at.try_recv().is_err());
+        assert_eq!(send(&endpoint, Clock::start(), None).await.outcome, Outcome::Served);
+    });
+}
+
 /// How a backend ends an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cut {
