Test rolling restarts of every deployment under backends that hang

Each file of deploy/sites/ becomes settings of three real proxies; each proxy in turn gets SIGTERM while a quarter or a half of the backends hang that it used last, with a request of it seen to hang there, and SIGKILL when PROTOCOL lets it come. Clients arrive whether or not answers do, write in one to three pieces and use their connections while those stay open. A request is lost if its connection ends after a backend got it, or over 300 ms behind its last byte, or if it has no whole answer in its time and half a second.

--- /dev/null
+++ b/tests/fleet/deployments/backends.rs
@@ -0,0 +1,174 @@
+//! Backends of a deployment: each serves a request in its class's time, holds so many connections, and hangs when
+//! told to, with the requests that it has begun and those that still come.
+
+use super::site::Site;
+use crate::harness::http::{Conn, Message, answer};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+/// What all backends of a deployment saw.
+#[derive(Default)]
+struct Seen {
+    /// How often each request came, by its `X-Txn`.
+    requests: HashMap<String, usize>,
+    /// The requests that hang just now.
+    hanging: Vec<String>,
+    /// The backend and the `X-Txn` of each request, in their order.
+    order: Vec<(usize, String)>,
+}
+
+/// What one backend needs to serve.
+struct Backend {
+    number: usize,
+    service_times: HashMap<String, Duration>,
+    most_connections: usize,
+    connections: Cell<usize>,
+    hangs: watch::Receiver<bool>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+/// The backends of a deployment, on a thread of their own that ends with the process.
+pub struct Backends {
+    addresses: Vec<SocketAddr>,
+    hangs: Vec<watch::Sender<bool>>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+fn lock(seen: &Mutex<Seen>) -> MutexGuard<'_, Seen> {
+    seen.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Backends {
+    /// Starts a deployment's backends on loopback ports that the system chooses.
+    pub fn start(site: &Site) -> Self {
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let (mut addresses, mut hangs, mut starts) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..site.backends() {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port");
+            listener.set_nonblocking(true).expect("a listener that does not block");
+            addresses.push(listener.local_addr().expect("a bound address"));
+            let (hang, hung) = watch::channel(false);
+            hangs.push(hang);
+            starts.push((listener, hung));
+        }
+        let service_times: HashMap<String, Duration> =
+            site.classes.iter().map(|class| (class.name.clone(), class.service_time())).collect();
+        let (most_connections, shared) = (site.connections_per_backend(), seen.clone());
+        std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            LocalSet::new().block_on(&runtime, async move {
+                let backend = |number, hangs| Backend {
+                    number,
+                    service_times: service_times.clone(),
+                    most_connections,
+                    connections: Cell::new(0),
+                    hangs,
+                    seen: shared.clone(),
+                };
+                for (number, (listener, hangs)) in starts.into_iter().enumerate() {
+                    tokio::task::spawn_local(accept(listener, Rc::new(backend(number, hangs))));
+                }
+                std::future::pending::<()>().await;
+            });
+        });
+        Self { addresses, hangs, seen }
+    }
+
+    /// Where they listen.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Makes these backends hang, and no others.
+    pub fn hang(&self, wanted: &[usize]) {
+        for (n, hang) in self.hangs.iter().enumerate() {
+            hang.send_replace(wanted.contains(&n));
+        }
+    }
+
+    /// Up to `most` backends that got a request which satisfies `wanted` by its `X-Txn`, the latest first.
+    pub fn latest_used(&self, most: usize, wanted: impl Fn(&str) -> bool) -> Vec<usize> {
+        let mut latest = Vec::new();
+        for (backend, txn) in lock(&self.seen).order.iter().rev() {
+            if latest.len() < most && wanted(txn) && !latest.contains(backend) {
+                latest.push(*backend);
+            }
+        }
+        latest
+    }
+
+    /// Whether a request that hangs now satisfies `wanted`, by its `X-Txn`.
+    pub fn is_hanging(&self, wanted: impl Fn(&str) -> bool) -> bool {
+        lock(&self.seen).hanging.iter().any(|txn| wanted(txn))
+    }
+
+    /// How often a request came.
+    pub fn times_seen(&self, txn: &str) -> usize {
+        lock(&self.seen).requests.get(txn).copied().unwrap_or(0)
+    }
+}
+
+async fn accept(listener: std::net::TcpListener, backend: Rc<Backend>) {
+    let listener = TcpListener::from_std(listener).expect("a listener of this runtime");
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let backend = backend.clone();
+        tokio::task::spawn_local(async move {
+            backend.connections.set(backend.connections.get() + 1);
+            serve(stream, &backend).await;
+            backend.connections.set(backend.connections.get() - 1);
+        });
+    }
+}
+
+/// Serves one connection up to its end. One that is too many is turned away with its first request.
+async fn serve(stream: TcpStream, backend: &Backend) {
+    let too_many = backend.connections.get() > backend.most_connections;
+    let _ = stream.set_nodelay(true);
+    let mut connection = Conn::new(stream);
+    while let Ok(message) = connection.read().await {
+        let bytes = match too_many {
+            true => answer(503, "Service Unavailable", "X-Turned-Away: 1\r\nConnection: close\r\n", b""),
+            false => backend.work(&message).await,
+        };
+        if connection.write(&bytes).await.is_err() || too_many {
+            return;
+        }
+    }
+}
+
+impl Backend {
+    fn record(&self, txn: &str) {
+        let mut seen = lock(&self.seen);
+        *seen.requests.entry(txn.to_string()).or_default() += 1;
+        seen.order.push((self.number, txn.to_string()));
+    }
+
+    /// The answer to a request, once it has been served and the backend hangs no more.
+    async fn work(&self, message: &Message) -> Vec<u8> {
+        let header = |name: &str| message.header(name).unwrap_or_default();
+        let txn = header("x-txn");
+        self.record(txn);
+        let service_time = self.service_times.get(header("x-lane")).copied().unwrap_or_default();
+        tokio::time::sleep(service_time).await;
+        let mut hangs = self.hangs.clone();
+        if *hangs.borrow() {
+            lock(&self.seen).hanging.push(txn.to_string());
+            // The sender lives as long as the test; without it nothing hangs.
+            let _ = hangs.wait_for(|hangs| !hangs).await;
+            lock(&self.seen).hanging.retain(|hanging| hanging != txn);
+        }
+        answer(200, "OK", "", format!("{txn} served").as_bytes())
+    }
+}
--- a/tests/fleet/harness/discovery.rs
+++ b/tests/fleet/harness/discovery.rs
@@ -25,12 +25,14 @@
     pub lifecycle: &'static str,
     /// `startedAtMs`.
     pub started_ms: f64,
+    /// `zone`.
+    pub zone: String,
 }
 
 impl Default for Listing {
     fn default() -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        Self { id: String::new(), address, lifecycle: "SERVING", started_ms: 0.0 }
+        Self { id: String::new(), address, lifecycle: "SERVING", started_ms: 0.0, zone: "a".into() }
     }
 }
 
@@ -111,7 +113,7 @@
 
 fn body(list: &List) -> Value {
     let entry = |e: &Listing| {
-        json!({"instanceId": e.id, "hostPort": e.address.to_string(), "zone": "a", "machineType": "m",
+        json!({"instanceId": e.id, "hostPort": e.address.to_string(), "zone": e.zone, "machineType": "m",
                "cell": 0, "lifecycle": e.lifecycle, "weight": 1.0, "startedAtMs": e.started_ms})
     };
     json!({"generation": list.generation, "reset": true,
