Test the restarts of deployments with one process paused around its SIGTERM

One of the three proxies gets SIGSTOP 150 ms before its SIGTERM and SIGCONT 150 ms after; a close may cross a request by that much later there.

--- a/tests/fleet/deployments.rs
+++ b/tests/fleet/deployments.rs
@@ -28,6 +28,10 @@
 const HANG_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long after SIGTERM the front goes on with new connections.
 const FRONT_NOTICE: Duration = Duration::from_millis(300);
+/// This proxy is stopped by SIGSTOP around its SIGTERM, as a process is that gets no processor time then,
+const PAUSED_PROXY: usize = 1;
+/// for so long before it and for so long after.
+const HALF_PAUSE: Duration = Duration::from_millis(150);
 /// A close that comes later than this behind a request's last byte has not crossed it: the request was taken.
 const LONGEST_CROSSING: Duration = Duration::from_millis(300);
 /// One request in so many may have its new connection closed without an answer.
@@ -137,10 +141,16 @@
 
     /// Tells a proxy to stop, and kills it when SIGKILL may come.
     fn stop(&mut self, proxy: usize, hung: bool) -> Stop {
-        let told = Instant::now();
         let process = &mut self.proxies[proxy];
+        if proxy == PAUSED_PROXY {
+            process.signal(Signal::SIGSTOP);
+            std::thread::sleep(HALF_PAUSE);
+        }
+        let told = Instant::now();
         process.signal(Signal::SIGTERM);
-        std::thread::sleep(FRONT_NOTICE);
+        std::thread::sleep(HALF_PAUSE);
+        process.signal(Signal::SIGCONT);
+        std::thread::sleep(FRONT_NOTICE - HALF_PAUSE);
         self.front.set_leaving(proxy, true);
         let left = self.site.kill_after().saturating_sub(told.elapsed());
         let ended = process.wait_exit(left);
@@ -164,6 +174,12 @@
     harness::config(&site.settings(me, PROXIES), &discovery.known(), seed)
 }
 
+/// How late a close may come behind a request that it has crossed: a process that is paused reads it later.
+fn longest_crossing(proxy: usize) -> Duration {
+    let pause = if proxy == PAUSED_PROXY { 2 * HALF_PAUSE } else { Duration::ZERO };
+    LONGEST_CROSSING + pause
+}
+
 impl Report {
     fn tries(&self) -> impl Iterator<Item = &Try> {
         self.requests.iter().flat_map(|request| &request.tries)
@@ -178,7 +194,7 @@
         match one.end {
             End::Answered(_) | End::NotTaken | End::Unreachable => None,
             End::Closed(_) if self.backends.times_seen(&one.txn) > 0 => Some(Loss::SentOn),
-            End::Closed(after) if after > LONGEST_CROSSING => Some(Loss::Taken),
+            End::Closed(after) if after > longest_crossing(one.proxy) => Some(Loss::Taken),
             End::Closed(_) => None,
             End::Cut => Some(Loss::Cut),
             End::Silent => Some(Loss::Silent),
@@ -282,8 +298,8 @@
     }
 }
 
-/// Three proxies of each deployment are restarted in turn, while backends hang and clients send up to the end, in
-/// pieces too. Each request that was taken has one whole answer in its time, and before SIGKILL may come.
+/// Three proxies of each deployment are restarted in turn, one of them paused around its SIGTERM, while backends hang
+/// and clients send up to the end, in pieces too. Each request that was taken has one whole answer in its time, and before SIGKILL may come.
 #[test]
 fn rolling_restarts_of_every_deployment_answer_all_that_was_taken() {
     raise_descriptors();
--- a/tests/fleet/deployments/backends.rs
+++ b/tests/fleet/deployments/backends.rs
@@ -94,15 +94,18 @@
         }
     }
 
-    /// Up to `most` backends that got a request which satisfies `wanted` by its `X-Txn`, the latest first.
-    pub fn latest_used(&self, most: usize, wanted: impl Fn(&str) -> bool) -> Vec<usize> {
-        let mut latest = Vec::new();
-        for (backend, txn) in lock(&self.seen).order.iter().rev() {
-            if latest.len() < most && wanted(txn) && !latest.contains(backend) {
-                latest.push(*backend);
+    /// `count` backends: those that got a request which satisfies `wanted` by its `X-Txn`, the latest first, and then
+    /// others.
+    pub fn latest_used(&self, count: usize, wanted: impl Fn(&str) -> bool) -> Vec<usize> {
+        let seen = lock(&self.seen);
+        let used = seen.order.iter().rev().filter(|(_, txn)| wanted(txn)).map(|(backend, _)| *backend);
+        let mut chosen = Vec::new();
+        for backend in used.chain(0..self.hangs.len()) {
+            if chosen.len() < count && !chosen.contains(&backend) {
+                chosen.push(backend);
             }
         }
-        latest
+        chosen
     }
 
     /// Whether a request that hangs now satisfies `wanted`, by its `X-Txn`.
