Keep back at most a tenth of a deadline for stalls and the answer's way

Need: at a deadline of 0.1 s one stall took all of the time of the requests behind it. Change: both allowances are at most a tenth of the class's deadline; as before from 1 s on.

--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -23,6 +23,9 @@
 const ANSWER_WAY: Time = 0.006;
 /// Largest allowance for waiting in this process, in seconds.
 const MAX_LAG: Time = 0.1;
+/// Neither of them takes more than this part of the deadline of a request's class: where deadlines are short, one stall
+/// would else leave no time to any request.
+const MAX_ALLOWANCE: f64 = 0.1;
 /// Part of the grace of a drain after which a send that was decided before is not made.
 const GRACE_USED: f64 = 0.5;
 /// So long after the start a proxy that has heard of no list is put to use all the same, in seconds.
@@ -152,6 +155,8 @@
     drain_grace: Time,
     max_open: usize,
     max_attempts: Cell<usize>,
+    /// Deadlines by class.
+    deadlines: RefCell<Vec<Time>>,
 }
 
 impl Engine {
@@ -176,6 +181,7 @@
             drain_grace: wire.drain_grace.as_secs_f64(),
             max_open: wire.max_open,
             max_attempts: Cell::new(settings.max_attempts),
+            deadlines: RefCell::new(settings.classes.iter().map(|class| class.deadline).collect()),
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
                 pending: VecDeque::new(),
@@ -215,6 +221,7 @@
     /// Other rules and another place, from now on.
     pub fn follow(&self, rules: Rules, place: Option<Place>) {
         self.max_attempts.set(rules.max_attempts);
+        self.deadlines.replace(rules.classes.iter().map(|class| class.deadline).collect());
         let mut state = self.state.borrow_mut();
         state.pending.push_back(Pending::Rules(rules, place));
         self.decide(state);
@@ -261,12 +268,13 @@
         }
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
-        request.budget -= self.lag.get();
+        request.budget -= self.allowance(request.class, self.lag.get());
         if let Some(by) = self.answer_by.get() {
             request.budget = request.budget.min(by - now);
         }
-        let until = now + request.budget - 0.5 * ANSWER_WAY;
-        request.budget -= ANSWER_WAY;
+        let answer_way = self.allowance(request.class, ANSWER_WAY);
+        let until = now + request.budget - 0.5 * answer_way;
+        request.budget -= answer_way;
         let payload = Rc::new(payload);
         state.open.insert(request.id, Open { answer, payload, until, attempts: 0 });
         self.set_timer(&mut state, until, Due::Request(request.id));
@@ -305,6 +313,12 @@
         backend::recent_use(self.idle_close)
     }
 
+    /// What of `wanted` seconds may be kept back from the time of a request of this class.
+    fn allowance(&self, class: usize, wanted: Time) -> Time {
+        let deadline = self.deadlines.borrow().get(class).copied();
+        deadline.map_or(wanted, |deadline| wanted.min(MAX_ALLOWANCE * deadline))
+    }
+
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state();
