--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -54,8 +54,10 @@
 /// Connections beyond the limit that are answered with a refusal, as a part of the limit.
 pub const OVERFLOW: usize = 8;
 
-/// How long a client is asked to stay away from a proxy that has no room for it, in seconds.
+/// How long a client is asked to stay away from a proxy that has no room for it, in seconds,
 const FULL_WAIT: Time = 1.0;
+/// but for no more than this part of the time that it has left: asked to stay away for longer it would come too late.
+const MAX_WAIT: f64 = 0.5;
 
 type Reply = Response<Full<Bytes>>;
 
@@ -451,8 +453,9 @@
             Ok(request) => request,
             Err(problem) => return Ok(plain(StatusCode::BAD_REQUEST, problem)),
         };
+        let budget = request.budget;
         if full {
-            return Ok(self.refusal("too many connections\n", None));
+            return Ok(self.refusal("too many connections\n", None, budget));
         }
         let id = request.id;
         let headers = onward(head.headers);
@@ -486,17 +489,19 @@
                 }
                 reply
             }
-            Ok(Answer::Refused(wait)) => self.refusal("refused, try again\n", wait),
+            Ok(Answer::Refused(wait)) => self.refusal("refused, try again\n", wait, budget),
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         })
     }
 
     /// A refusal, and when to return: as the module says, else once there may be room, where
-    /// clients are told at all.
-    fn refusal(&self, text: &'static str, wait: Option<Time>) -> Reply {
+    /// clients are told at all. `budget`: the time that the client has left.
+    fn refusal(&self, text: &'static str, wait: Option<Time>, budget: Time) -> Reply {
         let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, text);
-        let room = Some(FULL_WAIT.min(self.settings.borrow().max_retry_after)).filter(|wait| *wait > 0.0);
-        let wait = wait.or(room).and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok());
+        let room = FULL_WAIT.min(self.settings.borrow().max_retry_after).min(MAX_WAIT * budget);
+        let wait = wait
+            .or(Some(room).filter(|wait| *wait > 0.0))
+            .and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok());
         if let Some(wait) = wait {
             reply.headers_mut().insert(RETRY_AFTER, wait);
         }
