--- /dev/null
+++ b/tests/scales.rs
@@ -0,0 +1,218 @@
+//! Values that follow from the settings, where these are ten times smaller and larger than usual, and at the ends.
+
+use gannetproxy::proxy::backend::{Bounds, Budget, Endpoint, attempt, recent_use};
+use gannetproxy::proxy::engine::Engine;
+use gannetproxy::proxy::server::{self, Server};
+use gannetproxy::proxy::types::{Clock, Listed, News, Payload, WireSettings};
+use gannetproxy::{Class, Entry, Outcome, Request, RequestId, Settings};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::LocalSet;
+
+/// Far beyond what any step takes, on a busy machine too.
+const LONG: Duration = Duration::from_secs(30);
+
+fn payload(unsafe_to_repeat: bool) -> Payload {
+    Payload {
+        method: "GET".parse().unwrap(),
+        uri: "/api".parse().unwrap(),
+        headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        body: "".into(),
+        unsafe_to_repeat,
+        ended: Default::default(),
+        stamp: None,
+    }
+}
+
+/// The head of the next request on a connection, in lower case; none at its end.
+fn read_head(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head.to_lowercase())
+}
+
+/// A backend that answers all. It closes its first connection behind the first answer when told to, and tells.
+struct ClosesItsFirst {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+    close: Sender<()>,
+    closed: Receiver<()>,
+}
+
+fn closes_its_first() -> ClosesItsFirst {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, connections) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let ((close, told), (tell, closed)) = (channel(), channel());
+    let counted = connections.clone();
+    std::thread::spawn(move || {
+        let mut told = Some(told);
+        for stream in listener.incoming().map_while(Result::ok) {
+            counted.fetch_add(1, Ordering::SeqCst);
+            let (told, tell, mut stream) = (told.take(), tell.clone(), BufReader::new(stream));
+            std::thread::spawn(move || {
+                while read_head(&mut stream).is_some() {
+                    let _ = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    if let Some(told) = &told {
+                        let _ = told.recv_timeout(LONG);
+                        let _ = stream.get_mut().shutdown(Shutdown::Both);
+                        let _ = tell.send(());
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    ClosesItsFirst { address, connections, close, closed }
+}
+
+/// What must not run twice stays away from the rest that a connection was seen to end after, however short the rests
+/// are that the settings allow.
+#[tokio::test(start_paused = true)]
+async fn early_ends_are_learnt_where_idle_connections_last_for_a_tenth_of_a_second_or_for_minutes() {
+    for (idle, closed_after, too_long, just_used) in [
+        (100, 40, 30, None),
+        (3_000, 1_000, 600, Some(90)),
+        (30_000, 1_000, 600, Some(90)),
+        (300_000, 1_000, 600, Some(90)),
+    ] {
+        let backend = closes_its_first();
+        let idle = Duration::from_millis(idle);
+        let endpoint = Rc::new(Endpoint::new(backend.address, Budget::new(4), LONG, idle));
+        let rest = async |span: u64| {
+            let step = recent_use(idle);
+            for _ in 0..span / step.as_millis() as u64 {
+                endpoint.sweep();
+                tokio::time::sleep(step).await;
+            }
+        };
+        let sent = async |unsafe_to_repeat| {
+            let bounds = Bounds { until: 1000.0, send_by: None };
+            let payload = payload(unsafe_to_repeat).into();
+            let done = attempt(endpoint.clone(), payload, Clock::start(), bounds, Default::default()).await;
+            assert_eq!(done.outcome, Outcome::Served);
+            backend.connections.load(Ordering::SeqCst)
+        };
+        assert_eq!(sent(true).await, 1);
+        rest(closed_after).await;
+        backend.close.send(()).unwrap();
+        backend.closed.recv_timeout(LONG).unwrap();
+        assert_eq!(sent(false).await, 2, "{idle:?}: the end is seen");
+        if let Some(just_used) = just_used {
+            tokio::time::sleep(Duration::from_millis(just_used)).await;
+            assert_eq!(sent(true).await, 2, "{idle:?}: in use just now");
+        }
+        rest(too_long).await;
+        assert_eq!(sent(false).await, 2, "{idle:?}: it may be repeated");
+        rest(too_long).await;
+        assert_eq!(sent(true).await, 3, "{idle:?}: one ended after {closed_after} ms");
+    }
+}
+
+fn settings(deadline: f64) -> Settings {
+    let class = Class { aim: deadline, deadline, ..Class::default() };
+    Settings { classes: vec![class], quantum: 0.005, max_attempts: 1, ..Settings::default() }
+}
+
+fn wire() -> WireSettings {
+    WireSettings {
+        classes: vec!["look".into()],
+        connect_timeout: LONG,
+        idle_close: LONG,
+        max_open: usize::MAX,
+        ..WireSettings::default()
+    }
+}
+
+fn request(id: u64, budget: f64) -> Request {
+    Request { id: RequestId(id), budget, ..Request::default() }
+}
+
+/// A backend that never answers, and the time that each request told it, in milliseconds.
+fn told_of_times() -> (SocketAddr, Receiver<i64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, told) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                while let Some(head) = read_head(&mut stream) {
+                    let left = head.split("x-remaining-ms: ").nth(1).unwrap();
+                    let _ = tell.send(left.split('\r').next().unwrap().parse().unwrap());
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+/// What is kept back for the answer's way and for a stall of this process leaves most of the time of any request.
+#[tokio::test(start_paused = true)]
+async fn behind_a_stall_requests_have_most_of_their_time_whatever_their_deadline() {
+    for (deadline, left) in [(0.1, 74), (0.6, 524), (6.0, 5_884), (60.0, 59_884)] {
+        let (address, told) = told_of_times();
+        // The clock stands still while a blocking task runs.
+        let next = async |told: Receiver<i64>| {
+            let waited = tokio::task::spawn_blocking(move || (told.recv_timeout(LONG), told));
+            let (left, told) = waited.await.unwrap();
+            (left.expect("an attempt"), told)
+        };
+        let local = LocalSet::new();
+        local
+            .run_until(async {
+                let engine = Engine::start(settings(deadline), &wire(), 1, 8);
+                engine.news(News::Full(vec![Listed { entry: Entry::default(), address }]));
+                let _first = engine.request(request(1, deadline), payload(false)).expect("taken");
+                let (before, told) = next(told).await;
+                let unhurried = (deadline * 1000.0) as i64 - 16;
+                assert!((unhurried - 1..=unhurried).contains(&before), "{deadline} s: {before}");
+                // All of its timers are late by more than is ever allowed for.
+                tokio::time::advance(Duration::from_secs_f64(deadline + 0.2)).await;
+                tokio::task::yield_now().await;
+                let _second = engine.request(request(2, deadline), payload(false)).expect("taken");
+                let (behind, _) = next(told).await;
+                assert!((left - 1..=left).contains(&behind), "{deadline} s: {behind}");
+            })
+            .await;
+    }
+}
+
+/// A client that there is no room for is told to come back while it still has time.
+#[tokio::test]
+async fn a_refused_client_is_told_to_return_within_its_time() {
+    for (left_ms, wait) in [(60, "0.030"), (600, "0.300"), (6_000, "1.000"), (60_000, "1.000")] {
+        let settings = Settings { max_retry_after: 2.0, ..settings(f64::from(left_ms) / 1000.0) };
+        let wire = WireSettings { max_open: 0, ..wire() };
+        let local = LocalSet::new();
+        let answer = local.run_until(async {
+            let engine = Engine::start(settings.clone(), &wire, 1, 8);
+            let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let address = listener.local_addr().unwrap();
+            let server = Server::new(engine, settings, wire, 8);
+            tokio::task::spawn_local(server.run(listener, std::future::pending()));
+            let mut client = tokio::net::TcpStream::connect(address).await.unwrap();
+            let text = format!(
+                "GET /api HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 00000000000000a1\r\nX-Lane: look\r\n\
+                 X-Remaining-Ms: {left_ms}\r\nConnection: close\r\n\r\n"
+            );
+            client.write_all(text.as_bytes()).await.unwrap();
+            let mut answer = String::new();
+            client.read_to_string(&mut answer).await.unwrap();
+            answer.to_lowercase()
+        });
+        let answer = answer.await;
+        assert!(answer.starts_with("http/1.1 503"), "{answer}");
+        assert!(answer.contains(&format!("retry-after: {wait}\r\n")), "{left_ms} ms: {answer}");
+    }
+}
