--- a/lab/src/spec/tests.rs
+++ b/lab/src/spec/tests.rs
@@ -42,3 +42,10 @@
     let set = read(SMALL, &["proxies.count=7", "backends.0.speed=[1.0, 2.0]"]).expect("set");
     assert_eq!((set.proxies.count, set.backends[0].speed), (7, [1.0, 2.0]));
 }
+
+#[test]
+fn a_fleet_of_the_size_of_the_real_one_can_be_described() {
+    let set = read(SMALL, &["proxies.count=1300", "backends.0.count=1300"]).expect("set");
+    assert_eq!((set.proxies.count, set.backends[0].count), (1300, 1300));
+    assert!(read(SMALL, &["proxies.count=3000"]).expect_err("too many").to_string().contains("2,048"));
+}
--- a/src/agreement/state.rs
+++ b/src/agreement/state.rs
@@ -28,7 +28,7 @@
 /// See [`MOST_VERSIONS`].
 pub const MOST_HISTORY_BYTES: usize = 8 << 20;
 /// Most ended sessions remembered for whoever asks how the fleet stands.
-pub const MOST_ENDED: usize = 512;
+pub const MOST_ENDED: usize = 2_048;
 /// Most characters of a note or a reason.
 pub const MOST_NOTE: usize = 256;
 
--- a/src/agreement/state/tests.rs
+++ b/src/agreement/state/tests.rs
@@ -137,3 +137,17 @@
     let kept = serde_json::to_vec(&log.agreement).expect("JSON");
     assert_eq!(serde_json::from_slice::<Agreement>(&kept).expect("reads"), log.agreement);
 }
+
+#[test]
+fn a_fleet_of_1300_has_its_sessions_its_slots_and_its_ends() {
+    const PROXIES: usize = 1_300;
+    let mut log = Log::new();
+    for n in 0..PROXIES {
+        assert_eq!(log.open(0, 0).expect("opens").1 as usize, n);
+    }
+    log.agreement.tick(1, &mut log.revision);
+    assert_eq!(log.agreement.members().slots.len(), PROXIES);
+    log.agreement.tick(10_000, &mut log.revision);
+    assert!(log.agreement.members().slots.is_empty());
+    assert_eq!(log.agreement.ended.len(), PROXIES, "each is there for whoever asks how the fleet stands");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,12 +19,34 @@
 
 /// Descriptors kept for what is neither a client nor a backend.
 const OWN_DESCRIPTORS: usize = 48;
+/// Descriptors that a process may hold where its system sets no limit of its own.
+const USUAL_DESCRIPTORS: usize = 1024;
+/// Where the system says how many descriptors this process may hold.
+const SYSTEM_LIMITS: &str = "/proc/self/limits";
+
+/// The descriptors that may be held: as configured, and beyond the usual number no more than the system allows.
+fn allowed_descriptors(configured: usize) -> usize {
+    if configured <= USUAL_DESCRIPTORS {
+        return configured;
+    }
+    let limits = std::fs::read_to_string(SYSTEM_LIMITS).unwrap_or_default();
+    configured.min(open_files(&limits).unwrap_or(USUAL_DESCRIPTORS))
+}
+
+/// The soft limit of open files, in the form of `SYSTEM_LIMITS`.
+fn open_files(limits: &str) -> Option<usize> {
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    match line.split_whitespace().next()? {
+        "unlimited" => Some(usize::MAX),
+        number => number.parse().ok(),
+    }
+}
 
 /// How many connections there may be from clients and to backends. Clients hold up to a third of all
 /// descriptors for their requests, and others connect too, so that theirs are more; a few beyond
 /// their limit are taken to be refused.
-fn shared_out(sockets: usize) -> (usize, usize) {
-    let shared = sockets.saturating_sub(OWN_DESCRIPTORS).min(1024);
+fn shared_out(descriptors: usize) -> (usize, usize) {
+    let shared = descriptors.saturating_sub(OWN_DESCRIPTORS);
     let backends = shared * 2 / 5;
     ((shared - backends) * server::OVERFLOW / (server::OVERFLOW + 1), backends)
 }
@@ -39,7 +61,7 @@
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
-    let (clients, backends) = shared_out(config.sockets);
+    let (clients, backends) = shared_out(allowed_descriptors(config.sockets));
     let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, backends);
     let (cache, known) = match config.list_cache {
         None => (None, config.known),
--- a/src/registry/store/tests.rs
+++ b/src/registry/store/tests.rs
@@ -139,6 +139,7 @@
         full += usize::from(store.apply(&register) == Err(StoreError::Full));
     }
     assert!(full > 0 && store.len() + full == MOST_ENTRIES);
+    assert!(store.len() >= 1_300, "{} of the longest names", store.len());
     for id in store.listed.keys().cloned().collect::<Vec<_>>() {
         store.apply(&Command::Drain { instance_id: id }).expect("drained");
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -4,10 +4,35 @@
 
 #[test]
 fn clients_have_room_beside_a_third_of_the_descriptors_and_no_limit_is_passed() {
-    for sockets in [256, 384, 512, 1024] {
+    for sockets in [256, 384, 512, 1024, 2048, 4096, 65_536] {
         let (clients, backends) = shared_out(sockets);
         let taken = clients + clients / server::OVERFLOW;
         assert!(clients > sockets / 3 + 16, "{clients} of {sockets}");
         assert!(taken + backends + OWN_DESCRIPTORS <= sockets, "{taken} {backends} of {sockets}");
     }
 }
+
+/// A limit of this program's own would leave most of what is granted unused before 1,300 backends.
+#[test]
+fn all_descriptors_that_are_granted_are_shared_out() {
+    for sockets in [1024, 4096] {
+        let (clients, backends) = shared_out(sockets);
+        let unused = sockets - OWN_DESCRIPTORS - backends - clients - clients / server::OVERFLOW;
+        assert!(unused <= 1, "{unused} of {sockets}");
+    }
+    assert!(shared_out(4096).1 > 1300);
+}
+
+#[test]
+fn beyond_the_usual_number_the_system_limit_bounds_the_configured_one() {
+    let limits = "Limit                     Soft Limit           Hard Limit           Units     \n\
+                  Max processes             63704                63704                processes \n\
+                  Max open files            2048                 524288               files     \n";
+    assert_eq!(open_files(limits), Some(2048));
+    assert_eq!(open_files(&limits.replace("2048 ", "unlimited ")), Some(usize::MAX));
+    assert_eq!(open_files("nothing of the kind"), None);
+    assert_eq!(allowed_descriptors(256), 256);
+    assert_eq!(allowed_descriptors(1024), 1024);
+    let granted = allowed_descriptors(usize::MAX);
+    assert_eq!(granted, open_files(&std::fs::read_to_string(SYSTEM_LIMITS).unwrap()).unwrap());
+}
