Take no stall for a jam, and find a backend among very many equal ones

Cause: `pressure()` counts calls out beside a usual number whose root is one call at the least, so that the three calls that a stall of some milliseconds lets in together before backends that answer in a fraction of one passed for a jam: one proxy of tier 0 on the sample configuration refused 5 of 2,954 calls, 192 a second, before eight idle backends. And `place()` allowed for 16 roundings of the mean load, which 1,300 equal loads exceed: the pool was empty and each call refused.

Change: calls out that are all answered within a twentieth of the shortest aim, by what they have waited and by what is to be done, are no jam; the allowance for rounding grows with the pool.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,9 @@
 const USUAL_SPREAD: f64 = 0.35;
 /// The root stands this part of the way to that of the calls out, as counts are skewed.
 const SKEW: f64 = 0.5;
+/// Calls out that would all be answered within this part of the shortest aim are no jam, however many they are beside
+/// the usual number: where answers take a millisecond, those that a stall of some lets in together are as many.
+const HARMLESS_WAIT: f64 = 0.05;
 /// It narrows by this for each root of mean excess
 const NARROWING: f64 = 2.0;
 /// beyond this one, averaged over
@@ -553,10 +556,22 @@
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
         self.excess = beyond + (self.excess - beyond) * keep;
         self.excess_at = self.now;
+        if self.clears_soon(crowd, able, wait, out) {
+            return 0.0;
+        }
         let chance = (CHANCE[0] - NARROWING * (self.excess - CALM_EXCESS)).clamp(CHANCE[1], CHANCE[0]);
         (beyond / chance - 1.0).clamp(0.0, 1.0)
     }
 
+    /// Whether the calls out, which have waited `out` seconds together, are all answered in next to no time: they have
+    /// hardly waited so far, and what the backends that are `able` have to do is hardly more than a normal answer each.
+    fn clears_soon(&self, crowd: f64, able: f64, wait: Time, out: Time) -> bool {
+        let aim = self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        let most = HARMLESS_WAIT * aim;
+        let waited = out / (self.by_id.len() - self.held).max(1) as f64;
+        self.wait.samples >= FEW && waited <= most && crowd * wait <= most * able
+    }
+
     /// Calls in flight, but for those at members far slower than the best, which tell of bad
     /// backends and not of a fleet that has too much to do; those turned away for want of room
     /// count while they wait, copies of a call do not.
@@ -712,7 +727,9 @@
         }
         // None above the mean load is drawn: slow machines would be crowded when both drawn are slow.
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
-        pool.retain(|b| self.load(*b) <= mean * (1.0 + f64::EPSILON * 16.0));
+        // A sum of so many is off by as many roundings.
+        let rounding = f64::EPSILON * (16 + pool.len()) as f64;
+        pool.retain(|b| self.load(*b) <= mean * (1.0 + rounding));
         let one = pool.swap_remove(self.draw(pool.len())?);
         let Some(two) = self.draw(pool.len()).map(|i| pool[i]) else {
             return Some(one);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1243,3 +1243,44 @@
         assert_eq!(bench.balancer.open_requests(), 0);
     }
 }
+
+/// Calls that came in together while the process stood still, before backends that answer in a fraction of a
+/// millisecond: as many at once as a jam would leave, and gone as soon.
+#[test]
+fn calls_that_a_stall_lets_in_together_are_no_jam_where_answers_take_no_time() {
+    let mut settings = Settings { tier: 0, ..safe() };
+    settings.classes[0].aim = 0.5;
+    let mut refusals = 0;
+    for (rate, stall) in [(20.0, 0.2), (192.0, 0.02), (192.0, 0.05), (2000.0, 0.005)] {
+        let mut bench = Bench::seeded(7, settings.clone(), &fleet(8));
+        for id in 0..10_000 {
+            // Every hundredth time the process stands still, and all calls of that while come at once.
+            let stalls = id % 100 == 99;
+            let together = if stalls { (rate * stall) as u64 } else { 1 };
+            bench.run_to(bench.now + if stalls { stall } else { 1.0 / rate });
+            let mut out = Vec::new();
+            for n in 0..together {
+                let actions = bench.request(100 * id + n);
+                refusals += usize::from(refused(&actions, 100 * id + n));
+                out.extend(sends(&actions));
+            }
+            bench.run_to(bench.now + 0.0003);
+            for (id, to) in out {
+                let actions = bench.end(id, 0, to, Outcome::Served, 0.0003);
+                bench.cancelled(&actions);
+            }
+        }
+    }
+    assert_eq!(refusals, 0);
+}
+
+/// A single balancer before very many backends that are all alike: rounding must leave some of them to choose from.
+#[test]
+fn one_of_very_many_equal_backends_is_always_found() {
+    for count in [1_300, 4_000] {
+        let mut bench = Bench::new(safe(), &fleet(count));
+        for id in 0..50 {
+            assert_eq!(sends(&bench.request(id)).len(), 1, "{count} backends, call {id}");
+        }
+    }
+}
--- a/tests/scales.rs
+++ b/tests/scales.rs
@@ -26,6 +26,7 @@
         body: "".into(),
         unsafe_to_repeat,
         ended: Default::default(),
+        client_has_gone: Box::new(|| false),
         stamp: None,
     }
 }
