--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,8 +26,8 @@
 const USUAL_SPREAD: f64 = 0.35;
 /// The root stands this part of the way to that of the calls out, as counts are skewed.
 const SKEW: f64 = 0.5;
-/// Calls out that would all be answered within this part of the shortest aim are no jam, however many they are beside
-/// the usual number: where answers take a millisecond, those that a stall of some lets in together are as many.
+/// Calls out that would all be answered within this part of the shortest aim are no jam, however many they
+/// are beside the usual number: where answers take a millisecond, a stall of some lets in as many together.
 const HARMLESS_WAIT: f64 = 0.05;
 /// It narrows by this for each root of mean excess
 const NARROWING: f64 = 2.0;
@@ -563,8 +563,8 @@
         (beyond / chance - 1.0).clamp(0.0, 1.0)
     }
 
-    /// Whether the calls out, which have waited `out` seconds together, are all answered in next to no time: they have
-    /// hardly waited so far, and what the backends that are `able` have to do is hardly more than a normal answer each.
+    /// Whether the calls out, which have waited `out` seconds together, are all answered in next to no time:
+    /// they have hardly waited so far, and the backends that are `able` have hardly more to do than one each.
     fn clears_soon(&self, crowd: f64, able: f64, wait: Time, out: Time) -> bool {
         let aim = self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let most = HARMLESS_WAIT * aim;
