Measure what a proxy, or a chain of them, adds to a call: fleetlab overhead

fleetlab overhead plays blocks of calls direct and through the proxies in turn, before backends that answer at once, in an open loop that counts from each call's due time. Both blocks of a pair have the same due times, and what is added is told by pair with its interval, beside the difference of direct blocks with each other (the noise) and the lab's own lateness. Refusals, failures and calls not sent are counted; the proxies' processor time comes from /proc/PID/stat, less what they use while calls go past them.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use fleetlab::compare;
+use fleetlab::overhead;
 use fleetlab::report::Report;
 use fleetlab::rt::Loop;
 use fleetlab::run::{self, Options, default_program};
@@ -81,6 +82,30 @@
         #[arg(long)]
         proxy_binary: Option<PathBuf>,
     },
+    /// Measures what one proxy, or a chain of them, adds to a call of backends that answer at once.
+    Overhead {
+        /// Proxies that a call passes, one behind the other.
+        #[arg(long, default_value_t = 1)]
+        depth: usize,
+        /// Calls a second, one rate after the other.
+        #[arg(long, value_delimiter = ',', default_value = "20,192,1000")]
+        rates: Vec<f64>,
+        /// Seconds of load on each side (direct, through) at each rate.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Seconds of one block; blocks of both sides alternate.
+        #[arg(long, default_value_t = 5.0)]
+        block: f64,
+        /// The seed of the due times.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where overhead.json, overhead.txt and the plot go.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+    },
     /// Three list-service nodes, 8 proxies and 12 backends for 20 s with a crash and a partition: tells what held.
     Demo {
         /// Where the report and the plots go.
@@ -113,6 +138,18 @@
         Command::Sweep { file, set, seed, proxy_binary } => {
             sweep(&file, &set, options(proxy_binary, seed, None, &stop))
         }
+        Command::Overhead { depth, rates, seconds, block, seed, out, proxy_binary } => {
+            measure_overhead(overhead::Options {
+                program: proxy_binary.unwrap_or_else(default_program),
+                depth,
+                rates,
+                seconds,
+                block_seconds: block,
+                seed,
+                out,
+                stop: stop.clone(),
+            })
+        }
         Command::Demo { out, proxy_binary } => demo(options(proxy_binary, 1, Some(out), &stop)),
     };
     match ended {
@@ -201,6 +238,12 @@
     Ok(worst)
 }
 
+fn measure_overhead(options: overhead::Options) -> Ended {
+    let report = overhead::run(&options).map_err(|e| e.to_string())?;
+    print!("{}", report.text());
+    Ok(if report.trusted { 0 } else { 3 })
+}
+
 fn demo(options: Options) -> Ended {
     let experiment: Experiment = toml::from_str(DEMO).map_err(|e| e.to_string())?;
     println!("{}", experiment.about);
--- /dev/null
+++ b/lab/src/overhead/backend.rs
@@ -0,0 +1,120 @@
+//! Backends that answer at once, or, inside a chain, call the next level and pass its answer on.
+
+use super::plan::Side;
+use super::pool::Pool;
+use crate::http::{Conn, Message, answer};
+use crate::rt::Loop;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+
+/// The header that says on which side a call goes on.
+pub const SIDE_HEADER: &str = "x-side";
+/// Headers that a backend passes on with its own call; their names as read are lower-case.
+const PASSED_ON: [&str; 5] = ["x-txn", "x-lane", "x-org", "x-remaining-ms", SIDE_HEADER];
+/// The body of every answer of the last level.
+const BODY: &[u8] = b"{\"status\":\"done\"}";
+
+/// How a side is named in the header.
+pub fn side_name(side: Side) -> &'static str {
+    match side {
+        Side::Direct => "direct",
+        Side::Through => "through",
+    }
+}
+
+/// Whom a backend calls before it answers.
+#[derive(Clone, Debug)]
+pub struct NextLevel {
+    /// The next level's backends.
+    pub direct: Vec<SocketAddr>,
+    /// The next level's proxy.
+    pub through: SocketAddr,
+}
+
+/// The next level as one backend's connections see it.
+struct Upstream {
+    direct: Pool,
+    through: Pool,
+}
+
+/// Starts a backend on a loopback port that the system chooses; it lives as long as its event loop.
+///
+/// # Errors
+/// Where no port can be had.
+pub fn start(event_loop: &Loop, next: Option<NextLevel>) -> std::io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    event_loop.spawn(move || async move {
+        let upstream = next
+            .map(|next| Upstream { direct: Pool::new(&next.direct), through: Pool::new(&[next.through]) });
+        if let Ok(listener) = TcpListener::from_std(listener) {
+            accept(listener, Rc::new(upstream)).await;
+        }
+    });
+    Ok(address)
+}
+
+async fn accept(listener: TcpListener, upstream: Rc<Option<Upstream>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let upstream = upstream.clone();
+        tokio::task::spawn_local(async move { serve(stream, (*upstream).as_ref()).await });
+    }
+}
+
+async fn serve(stream: TcpStream, upstream: Option<&Upstream>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut connection = Conn::new(stream);
+    while let Ok(request) = connection.read().await {
+        let bytes = respond(&request, upstream).await;
+        if connection.write(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The answer to one request.
+async fn respond(request: &Message, upstream: Option<&Upstream>) -> Vec<u8> {
+    let is_probe = request.method_target().1.starts_with("/-/");
+    match upstream {
+        Some(upstream) if !is_probe => pass_on(request, upstream).await,
+        _ => answer(200, "OK", "Content-Type: application/json\r\n", BODY),
+    }
+}
+
+/// Calls the next level, and answers as it did; 502 where it did not.
+async fn pass_on(request: &Message, upstream: &Upstream) -> Vec<u8> {
+    let pool = match request.header(SIDE_HEADER) == Some(side_name(Side::Direct)) {
+        true => &upstream.direct,
+        false => &upstream.through,
+    };
+    let outcome = match pool.connection().await {
+        Ok(connection) => connection.call(&next_request(request)).await,
+        Err(failure) => Err(failure),
+    };
+    match outcome {
+        Ok(message) => answer(message.status(), "Passed-On", "", &message.body),
+        Err(failure) => answer(502, "Bad Gateway", "", failure.to_string().as_bytes()),
+    }
+}
+
+fn next_request(request: &Message) -> Vec<u8> {
+    let mut text = format!("{} HTTP/1.1\r\nHost: next\r\n", request_target(request));
+    for name in PASSED_ON {
+        if let Some(value) = request.header(name) {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+    }
+    text.push_str(&format!("Content-Length: {}\r\n\r\n", request.body.len()));
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+fn request_target(request: &Message) -> String {
+    let (method, target) = request.method_target();
+    format!("{method} {target}")
+}
--- /dev/null
+++ b/lab/src/overhead/tests.rs
@@ -0,0 +1,125 @@
+//! Tests of what is pure: the plan, merging, and the differences.
+
+use super::figures::{merged, of_rate, quantiles};
+use super::load::{Outcome, empty_histogram};
+use super::plan::{Block, Side, blocks, due_times};
+use super::{BlockResult, Options, OverheadReport};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+const RATE: f64 = 100.0;
+
+fn block(side: Side, pair: usize) -> Block {
+    Block { rate: RATE, side, pair, seconds: 10.0 }
+}
+
+/// A block whose calls all took `latency_us`, late by `lateness_us`.
+fn result(side: Side, pair: usize, latency_us: u64, lateness_us: u64, processor_ms: u64) -> BlockResult {
+    let mut outcome = Outcome { served: 1_000, ..Outcome::default() };
+    outcome.latency.record_n(latency_us * 1_000, 1_000).expect("within bounds");
+    outcome.lateness.record_n(lateness_us * 1_000, 1_000).expect("within bounds");
+    BlockResult { block: block(side, pair), outcome, processor: Duration::from_millis(processor_ms) }
+}
+
+fn options(pairs: f64) -> Options {
+    Options {
+        program: PathBuf::new(),
+        depth: 1,
+        rates: vec![RATE],
+        seconds: 10.0 * pairs,
+        block_seconds: 10.0,
+        seed: 1,
+        out: None,
+        stop: Arc::default(),
+    }
+}
+
+fn close(value: f64, expected: f64) -> bool {
+    // Histograms keep three digits.
+    (value - expected).abs() <= 0.002 * expected.abs().max(1.0)
+}
+
+#[test]
+fn the_side_that_goes_first_alternates() {
+    let sides: Vec<(f64, Side)> = blocks(&[1.0, 2.0], 2, 5.0).iter().map(|b| (b.rate, b.side)).collect();
+    let of_rate = |rate| [Side::Direct, Side::Through, Side::Through, Side::Direct].map(|side| (rate, side));
+    assert_eq!(sides, [of_rate(1.0), of_rate(2.0)].concat());
+}
+
+#[test]
+fn both_blocks_of_a_pair_have_the_same_due_times_and_other_pairs_others() {
+    let due = |side, pair| due_times(&block(side, pair), 7);
+    assert_eq!(due(Side::Direct, 0), due(Side::Through, 0));
+    assert_ne!(due(Side::Direct, 0), due(Side::Direct, 1));
+    let times = due(Side::Direct, 0);
+    assert!(times.is_sorted() && times.last().is_some_and(|last| *last < Duration::from_secs(10)));
+    // 1,000 expected, with a standard deviation of 32.
+    assert!((850..1_150).contains(&times.len()), "{} calls", times.len());
+}
+
+#[test]
+fn a_merged_histogram_holds_every_block() {
+    let (mut fast, mut slow) = (empty_histogram(), empty_histogram());
+    fast.record_n(100_000, 98).expect("within bounds");
+    slow.record_n(900_000, 2).expect("within bounds");
+    let all = merged([&fast, &slow]);
+    assert_eq!(all.len(), 100);
+    let quantiles = quantiles(&all);
+    assert!(close(quantiles.p50, 100.0) && close(quantiles.p99, 900.0) && close(quantiles.max, 900.0));
+}
+
+#[test]
+fn what_is_added_is_the_difference_by_pair_with_its_interval() {
+    let results = [
+        result(Side::Direct, 0, 100, 20, 10),
+        result(Side::Through, 0, 400, 20, 400),
+        result(Side::Through, 1, 500, 20, 400),
+        result(Side::Direct, 1, 120, 20, 10),
+    ];
+    let figures = of_rate(RATE, &results).expect("both sides were played");
+    // 300 and 380: mean 340, standard deviation 56.6, t(1) = 12.706.
+    assert!(close(figures.added_p50_us.mean_of_pairs, 340.0), "{figures:?}");
+    let half_width = figures.added_p50_us.half_width_95.expect("two pairs");
+    assert!((half_width - 12.706 * 40.0).abs() < 10.0, "{half_width}");
+    assert!(close(figures.added_p50_us.direct_against_direct.expect("two direct blocks"), 20.0));
+    // 390 ms more than at rest for 1,000 calls in each block.
+    assert!(close(figures.processor_us_per_call, 390.0));
+    assert!(close(figures.cores_under_load, 0.04) && close(figures.cores_at_rest, 0.001));
+}
+
+#[test]
+fn a_single_pair_has_no_interval_and_no_noise() {
+    let results = [result(Side::Direct, 0, 100, 20, 0), result(Side::Through, 0, 400, 20, 0)];
+    let added = of_rate(RATE, &results).expect("both sides were played").added_p99_us;
+    assert_eq!((added.half_width_95, added.direct_against_direct), (None, None));
+    assert!(of_rate(RATE, &results[..1]).is_none(), "one side says nothing");
+}
+
+#[test]
+fn calls_that_were_not_served_are_counted_by_kind() {
+    let mut through = result(Side::Through, 0, 400, 20, 0);
+    (through.outcome.refused, through.outcome.failed, through.outcome.unsent) = (3, 2, 1);
+    let report = OverheadReport::new(&options(1.0), &[result(Side::Direct, 0, 100, 20, 0), through]);
+    assert_eq!(report.not_served(), 6);
+    assert_eq!(report.rates[0].through.calls, 1_006);
+    assert!(report.trusted && !report.partial);
+}
+
+#[test]
+fn a_late_lab_and_missing_blocks_are_marked() {
+    let late = [result(Side::Direct, 0, 100, 2_000, 0), result(Side::Through, 0, 400, 20, 0)];
+    let report = OverheadReport::new(&options(2.0), &late);
+    assert!(!report.trusted && report.partial);
+    assert!(report.text().contains("(partial) (the lab was late: not to be trusted)"));
+}
+
+#[test]
+fn options_out_of_range_are_refused() {
+    assert!(options(1.0).check().is_ok());
+    assert!(Options { depth: 0, ..options(1.0) }.check().is_err());
+    assert!(Options { rates: vec![0.0], ..options(1.0) }.check().is_err());
+    assert!(Options { rates: Vec::new(), ..options(1.0) }.check().is_err());
+    assert!(Options { block_seconds: f64::NAN, ..options(1.0) }.check().is_err());
+    assert!(Options { seconds: 1.0, ..options(1.0) }.check().is_err());
+}
--- /dev/null
+++ b/lab/src/usage.rs
@@ -0,0 +1,93 @@
+//! What a process or a group of its threads has used so far, read from `/proc`.
+
+use std::io::{Error, ErrorKind, Result};
+use std::path::Path;
+use std::time::Duration;
+
+/// Units of processor time in `/proc/PID/stat`: `USER_HZ`, which Linux fixes at 100 for user space.
+const TICKS_PER_SECOND: u64 = 100;
+/// Places of `utime` and `stime` among the fields behind the command's name.
+const USER_TIME_FIELD: usize = 11;
+const SYSTEM_TIME_FIELD: usize = 12;
+
+/// What one process has used since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time, user and system, to 10 ms.
+    pub processor: Duration,
+    /// Resident memory now, in kB (`VmRSS`).
+    pub resident_kb: u64,
+    /// Resident memory at its peak, in kB (`VmHWM`).
+    pub peak_kb: u64,
+    /// Bytes that it had written to disk (`write_bytes`).
+    pub disk_bytes: u64,
+}
+
+/// What the process `pid` has used.
+///
+/// # Errors
+/// Where it is gone, or its files can't be read.
+pub fn of_process(pid: u32) -> Result<Usage> {
+    let directory = format!("/proc/{pid}");
+    let read = |file: &str| std::fs::read_to_string(format!("{directory}/{file}"));
+    let status = read("status")?;
+    Ok(Usage {
+        processor: processor_time(&read("stat")?).ok_or_else(malformed)?,
+        resident_kb: field(&status, "VmRSS:").ok_or_else(malformed)?,
+        peak_kb: field(&status, "VmHWM:").ok_or_else(malformed)?,
+        disk_bytes: field(&read("io")?, "write_bytes:").ok_or_else(malformed)?,
+    })
+}
+
+/// What this process has used.
+///
+/// # Errors
+/// As [`of_process`].
+pub fn of_self() -> Result<Usage> {
+    of_process(std::process::id())
+}
+
+/// The processor time of this process's threads whose name begins with `prefix` (at most 15 characters are kept of a
+/// thread's name).
+///
+/// # Errors
+/// Where the threads can't be listed.
+pub fn of_threads(prefix: &str) -> Result<Duration> {
+    let mut total = Duration::ZERO;
+    for task in std::fs::read_dir("/proc/self/task")? {
+        total += of_thread(&task?.path(), prefix).unwrap_or_default();
+    }
+    Ok(total)
+}
+
+/// A thread's processor time; `None` if its name begins otherwise, or if it has ended meanwhile.
+fn of_thread(directory: &Path, prefix: &str) -> Option<Duration> {
+    let name = std::fs::read_to_string(directory.join("comm")).ok()?;
+    if !name.starts_with(prefix) {
+        return None;
+    }
+    processor_time(&std::fs::read_to_string(directory.join("stat")).ok()?)
+}
+
+/// User and system time from the text of a `stat` file.
+fn processor_time(stat: &str) -> Option<Duration> {
+    // The command's name stands in parentheses and may hold spaces and parentheses of its own.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |field: usize| fields.get(field)?.parse::<u64>().ok();
+    let total = ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?;
+    Some(Duration::from_millis(total * 1_000 / TICKS_PER_SECOND))
+}
+
+/// The number behind `name` in a file of lines `name: number unit`.
+fn field(text: &str, name: &str) -> Option<u64> {
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+fn malformed() -> Error {
+    Error::new(ErrorKind::InvalidData, "a file of /proc is not of the expected form")
+}
+
+#[cfg(test)]
+mod tests;
