Play the list service among hollow proxies at several sizes: fleetlab scale

The size that is coming (1,300 proxies and backends) has to be reckoned from measured slopes, and the lab could not play more than some 350 processes.

fleetlab scale FILE.toml plays list-service nodes among hollow proxies and backends: the program's own engine, discovery, settings follower and session, and its client for heartbeats, hundreds in one process, without a listener and so without traffic. Each size is played by a process of its own: start, rest, changes of the list and of the settings. For nodes, hollow proxies and a few real ones beside them it tells processor time, memory, disk writes and bytes (counted by relays before a few of them), how heartbeats ended, and how changes came to all proxies. Each figure is fitted over the size by a line with its residual, and what lies outside of the sizes played is marked as extrapolated. Sizes at which the lab was late or a thread of its own too busy are marked.

Relays count the bytes that pass, and a cluster can be started with another timing than the tests' quick one. The program itself is unchanged.

--- a/lab/src/cluster.rs
+++ b/lab/src/cluster.rs
@@ -12,6 +12,18 @@
 /// A target nobody listens at, for relays whose node is not up.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
+/// How the nodes keep a leader.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// How often the leader calls the others, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Between which times without a leader a node stands for election, in milliseconds.
+    pub election_ms: [u64; 2],
+}
+
+/// Quicker than the program's defaults, so that tests with elections are short.
+const QUICK: Timing = Timing { heartbeat_ms: 60, election_ms: [250, 500] };
+
 /// The nodes, their links and their directories; all end with it.
 pub struct Cluster {
     nodes: Vec<Option<Process>>,
@@ -20,6 +32,7 @@
     fronts: Vec<Relay>,
     dir: PathBuf,
     extra: String,
+    timing: Timing,
 }
 
 impl Cluster {
@@ -39,6 +52,22 @@
     /// # Panics
     /// Where there is no port for a relay.
     pub fn try_start(fleet: &mut Fleet, size: usize, extra: &str) -> Result<Self, StartError> {
+        Self::try_start_timed(fleet, size, extra, QUICK)
+    }
+
+    /// The same with a timing of its own.
+    ///
+    /// # Errors
+    /// Why a node does not start.
+    ///
+    /// # Panics
+    /// Where there is no port for a relay.
+    pub fn try_start_timed(
+        fleet: &mut Fleet,
+        size: usize,
+        extra: &str,
+        timing: Timing,
+    ) -> Result<Self, StartError> {
         let dir = fleet.scratch("cluster");
         let relay = || Relay::start(NOWHERE).expect("a loopback port for a relay");
         let links = (0..size)
@@ -50,6 +79,7 @@
             fronts: (0..size).map(|_| relay()).collect(),
             dir,
             extra: extra.into(),
+            timing,
         };
         for n in 0..size {
             cluster.start_node(fleet, n, "")?;
@@ -64,9 +94,10 @@
 
     /// Starts node `n` (again), `more` in its configuration; it is reached where it was.
     pub fn start_node(&mut self, fleet: &mut Fleet, n: usize, more: &str) -> Result<(), StartError> {
+        let Timing { heartbeat_ms, election_ms: [least, most] } = self.timing;
         let mut config = format!(
-            "listen = \"127.0.0.1:0\"\nnode = {}\ndata_dir = \"{}\"\nheartbeat_ms = 60\nelection_ms = [250, 500]\n\
-             {}\n{more}\n",
+            "listen = \"127.0.0.1:0\"\nnode = {}\ndata_dir = \"{}\"\nheartbeat_ms = {heartbeat_ms}\n\
+             election_ms = [{least}, {most}]\n{}\n{more}\n",
             n + 1,
             self.data_dir(n).display(),
             self.extra
@@ -120,6 +151,11 @@
         self.fronts.iter().map(Relay::address).collect()
     }
 
+    /// The links between nodes.
+    pub fn links(&self) -> impl Iterator<Item = &Relay> {
+        self.links.iter().flatten().flatten()
+    }
+
     /// Puts a fault on the link by which node `from` reaches node `to`.
     pub fn link(&self, from: usize, to: usize, fault: Fault) {
         if let Some(link) = &self.links[from][to] {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod report;
 pub mod rt;
 pub mod run;
+pub mod scale;
 mod scratch;
 pub mod spec;
 pub mod stage;
--- a/lab/src/links.rs
+++ b/lab/src/links.rs
@@ -76,6 +76,24 @@
     pub reset: AtomicU64,
     /// Bytes swallowed by a black hole.
     pub swallowed: AtomicU64,
+    /// Bytes passed to the target.
+    pub bytes_to_target: AtomicU64,
+    /// Pieces in which they came: a small request comes in one.
+    pub pieces_to_target: AtomicU64,
+    /// Bytes passed from the target.
+    pub bytes_from_target: AtomicU64,
+}
+
+impl Counts {
+    /// Counts a piece that passes.
+    fn pass(&self, to_target: bool, bytes: u64) {
+        if to_target {
+            self.bytes_to_target.fetch_add(bytes, Ordering::Relaxed);
+            self.pieces_to_target.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.bytes_from_target.fetch_add(bytes, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Sees the bytes that pass from the target, piece by piece.
@@ -303,6 +321,7 @@
         if !to_target && let Some(tap) = &shared.tap {
             tap(&buffer[..n]);
         }
+        shared.counts.pass(to_target, n as u64);
         if to.write_all(&buffer[..n]).await.is_err() {
             break;
         }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,9 +8,10 @@
 use fleetlab::report::Report;
 use fleetlab::rt::Loop;
 use fleetlab::run::{self, Options, default_program};
+use fleetlab::scale::{self, ScaleExperiment};
 use fleetlab::spec::{Experiment, setting};
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -106,6 +107,38 @@
         #[arg(long)]
         proxy_binary: Option<PathBuf>,
     },
+    /// Plays the list service among hollow proxies and backends at several sizes, and fits each figure over the size.
+    Scale {
+        /// The experiment's file.
+        file: String,
+        /// Where the report, the plot and each size's result go.
+        #[arg(long, default_value = "target/scale")]
+        out: PathBuf,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+        /// Overrides of the file, `key=value`, as `sizes=[100, 300]`.
+        #[arg(long)]
+        set: Vec<String>,
+    },
+    /// Plays one size, in the process that `scale` starts for it.
+    #[command(hide = true)]
+    ScaleSize {
+        /// The experiment's file.
+        file: String,
+        /// The size.
+        #[arg(long)]
+        size: usize,
+        /// Where the result goes.
+        #[arg(long)]
+        result: PathBuf,
+        /// The program.
+        #[arg(long)]
+        proxy_binary: PathBuf,
+        /// Overrides of the file, `key=value`.
+        #[arg(long)]
+        set: Vec<String>,
+    },
     /// Three list-service nodes, 8 proxies and 12 backends for 20 s with a crash and a partition: tells what held.
     Demo {
         /// Where the report and the plots go.
@@ -150,6 +183,16 @@
                 stop: stop.clone(),
             })
         }
+        Command::Scale { file, out, proxy_binary, set } => measure_scale(scale::Options {
+            file,
+            set,
+            program: proxy_binary.unwrap_or_else(default_program),
+            out,
+            stop: stop.clone(),
+        }),
+        Command::ScaleSize { file, size, result, proxy_binary, set } => {
+            play_size(&file, &set, size, &proxy_binary, &result, &stop)
+        }
         Command::Demo { out, proxy_binary } => demo(options(proxy_binary, 1, Some(out), &stop)),
     };
     match ended {
@@ -244,6 +287,39 @@
     Ok(if report.trusted { 0 } else { 3 })
 }
 
+fn read_scale(file: &str, set: &[String]) -> Result<ScaleExperiment, String> {
+    let set = set.iter().map(|s| setting(s)).collect::<Result<Vec<_>, _>>()?;
+    ScaleExperiment::read(file, &set).map_err(|e| e.to_string())
+}
+
+fn measure_scale(options: scale::Options) -> Ended {
+    let experiment = read_scale(&options.file, &options.set)?;
+    let report = scale::run(&experiment, &options).map_err(|e| e.to_string())?;
+    print!("{}", report.text());
+    println!("report and plot: {}", options.out.display());
+    Ok(match (report.whole, report.sizes.iter().all(|size| size.trusted)) {
+        (true, true) => 0,
+        (true, false) => 3,
+        (false, _) => 1,
+    })
+}
+
+fn play_size(
+    file: &str,
+    set: &[String],
+    size: usize,
+    program: &Path,
+    result: &Path,
+    stop: &AtomicBool,
+) -> Ended {
+    let experiment = read_scale(file, set)?;
+    let played = scale::play_size(&experiment, size, program, stop).map_err(|e| e.to_string())?;
+    let json = serde_json::to_string_pretty(&played).map_err(|e| e.to_string())?;
+    std::fs::write(result, json).map_err(|e| format!("{}: {e}", result.display()))?;
+    // Hollow proxies and backends end with the process, without being taken down one by one.
+    std::process::exit(0)
+}
+
 fn demo(options: Options) -> Ended {
     let experiment: Experiment = toml::from_str(DEMO).map_err(|e| e.to_string())?;
     println!("{}", experiment.about);
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -39,3 +39,40 @@
     assert_eq!(rate["direct"]["served"], rate["direct"]["calls"], "a direct call is always served");
     assert!(rate["added_p50_us"]["half_width_95"].is_number(), "four pairs have an interval");
 }
+
+#[test]
+fn scale_plays_every_size_and_fits_its_figures() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/experiments/scale.toml");
+    let set = [
+        "sizes=[3, 6]",
+        "predict=[4, 9]",
+        "phases.rest_s=1",
+        "phases.list_changes=2",
+        "phases.settings_changes=1",
+        "phases.change_every_ms=50",
+        "proxies.metered=2",
+        "proxies.real=1",
+    ];
+    let mut arguments = vec!["scale", file];
+    set.iter().for_each(|set| arguments.extend(["--set", set]));
+    let report = play("scale", &arguments, "scale.json");
+    assert_eq!(report["whole"], true, "{report}");
+    for (size, played) in [3, 6].iter().zip(report["sizes"].as_array().expect("sizes")) {
+        let result = &played["result"];
+        assert_eq!((&result["size"], &result["listed"]), (&Value::from(*size), &Value::from(*size)));
+        assert_eq!(result["attached"], *size, "every hollow proxy has a session");
+        assert_eq!(result["rest"]["nodes"].as_array().map(Vec::len), Some(3));
+        assert_eq!(
+            (&result["list_changes"]["missed"], &result["settings_changes"]["missed"]),
+            (&Value::from(0), &Value::from(0))
+        );
+        assert!(result["rest"]["proxy_traffic"]["bytes_per_s"].as_f64() > Some(0.0), "the relays count");
+    }
+    let figures = report["figures"].as_array().expect("figures");
+    let figure = figures.iter().find(|figure| figure["name"] == "rest.node.busiest.cores");
+    let predictions = &figure.expect("the busiest node is a figure")["predictions"];
+    assert_eq!(
+        (&predictions[0]["extrapolated"], &predictions[1]["extrapolated"]),
+        (&Value::from(false), &Value::from(true))
+    );
+}
