Show the machine's own load beside the lab's measurements

On a machine that others use too, a figure of time says little without what else ran.

Both measurements now tell the cores that the whole machine used, and scale tells what a write of 4 KiB to the nodes' disk took before each size.

--- a/lab/src/overhead/figures.rs
+++ b/lab/src/overhead/figures.rs
@@ -16,6 +16,8 @@
     pub outcome: Outcome,
     /// The processor time that all proxies used meanwhile.
     pub processor: Duration,
+    /// The processor time that the whole machine used meanwhile.
+    pub machine: Duration,
 }
 
 /// Times in microseconds.
@@ -84,6 +86,8 @@
     pub cores_under_load: f64,
     /// The cores that they use while calls go past them.
     pub cores_at_rest: f64,
+    /// The cores that the whole machine used, the lab and whatever else ran on it included.
+    pub machine_cores: f64,
 }
 
 /// A quantile in microseconds.
@@ -119,7 +123,9 @@
         return None;
     }
     let calls: u64 = through.iter().map(|result| result.outcome.served).sum();
-    let (cores_under_load, cores_at_rest) = (cores(&through), cores(&direct));
+    let (cores_under_load, cores_at_rest) =
+        (cores(&through, |result| result.processor), cores(&direct, |result| result.processor));
+    let all = [direct.as_slice(), through.as_slice()].concat();
     let seconds: f64 = through.iter().map(|result| result.block.seconds).sum();
     let for_calls = (cores_under_load - cores_at_rest) * seconds;
     Some(RateFigures {
@@ -131,6 +137,7 @@
         processor_us_per_call: 1e6 * for_calls / calls.max(1) as f64,
         cores_under_load,
         cores_at_rest,
+        machine_cores: cores(&all, |result| result.machine),
     })
 }
 
@@ -153,9 +160,9 @@
     }
 }
 
-/// The cores that the proxies used over these blocks.
-fn cores(results: &[&BlockResult]) -> f64 {
-    let used: f64 = results.iter().map(|result| result.processor.as_secs_f64()).sum();
+/// The cores that this processor time over these blocks amounts to.
+fn cores(results: &[&BlockResult], of: fn(&BlockResult) -> Duration) -> f64 {
+    let used: f64 = results.iter().map(|result| of(result).as_secs_f64()).sum();
     let seconds: f64 = results.iter().map(|result| result.block.seconds).sum();
     used / seconds.max(f64::MIN_POSITIVE)
 }
--- a/lab/src/overhead/mod.rs
+++ b/lab/src/overhead/mod.rs
@@ -22,6 +22,7 @@
 pub use report::OverheadReport;
 
 use crate::process::StartError;
+use crate::usage;
 use fixture::Fixture;
 use load::Generator;
 use std::path::{Path, PathBuf};
@@ -141,10 +142,11 @@
     fixture: &Fixture,
     generator: &Generator,
 ) -> Result<BlockResult, OverheadError> {
-    let before = fixture.proxies_processor_time()?;
+    let (proxies, machine) = (fixture.proxies_processor_time()?, usage::of_machine()?);
     let outcome = generator.play(block.side, &plan::due_times(&block, options.seed));
-    let processor = fixture.proxies_processor_time()?.saturating_sub(before);
-    Ok(BlockResult { block, outcome, processor })
+    let processor = fixture.proxies_processor_time()?.saturating_sub(proxies);
+    let machine = usage::of_machine()?.saturating_sub(machine);
+    Ok(BlockResult { block, outcome, processor, machine })
 }
 
 fn write(directory: &Path, report: &OverheadReport, results: &[BlockResult]) -> Result<(), OverheadError> {
--- a/lab/src/overhead/tests.rs
+++ b/lab/src/overhead/tests.rs
@@ -19,7 +19,8 @@
     let mut outcome = Outcome { served: 1_000, ..Outcome::default() };
     outcome.latency.record_n(latency_us * 1_000, 1_000).expect("within bounds");
     outcome.lateness.record_n(lateness_us * 1_000, 1_000).expect("within bounds");
-    BlockResult { block: block(side, pair), outcome, processor: Duration::from_millis(processor_ms) }
+    let processor = Duration::from_millis(processor_ms);
+    BlockResult { block: block(side, pair), outcome, processor, machine: Duration::from_secs(20) }
 }
 
 fn options(pairs: f64) -> Options {
@@ -86,6 +87,7 @@
     // 390 ms more than at rest for 1,000 calls in each block.
     assert!(close(figures.processor_us_per_call, 390.0));
     assert!(close(figures.cores_under_load, 0.04) && close(figures.cores_at_rest, 0.001));
+    assert!(close(figures.machine_cores, 2.0));
 }
 
 #[test]
--- a/lab/src/scale/result.rs
+++ b/lab/src/scale/result.rs
@@ -11,6 +11,8 @@
     pub size: usize,
     /// Why not all of it was played, if so.
     pub partial: Option<String>,
+    /// What it took to get 4 KiB to the nodes' disk before anything ran.
+    pub disk: DiskProbe,
     /// Seconds until all backends were registered.
     pub registered_s: f64,
     /// Hollow proxies that were started.
@@ -37,6 +39,31 @@
     pub settings_changes: Option<Changes>,
 }
 
+impl SizeResult {
+    /// Notes why not all of it was played as it should be; an earlier reason stays before it.
+    pub fn mark_partial(&mut self, why: &str) {
+        let earlier = self.partial.take().map_or(String::new(), |earlier| format!("{earlier}; "));
+        self.partial = Some(earlier + why);
+    }
+}
+
+/// What the disk under the nodes takes for a small write, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct DiskProbe {
+    /// Half of the writes took at most this.
+    pub p50_ms: f64,
+    /// 99 in 100.
+    pub p99_ms: f64,
+}
+
+impl DiskProbe {
+    /// From what each write took.
+    pub fn new(mut writes: Vec<Duration>) -> Self {
+        writes.sort_unstable();
+        Self { p50_ms: quantile(&writes, 0.5), p99_ms: quantile(&writes, 0.99) }
+    }
+}
+
 /// What was used in a span of time.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Phase {
@@ -62,6 +89,8 @@
     pub fewest_entries: Option<u64>,
     /// How heartbeats ended.
     pub heartbeats: Heartbeats,
+    /// Cores that the whole machine used, whatever else ran on it included.
+    pub machine_cores: f64,
     /// Cores of the lab's own threads: hollow proxies, hollow backends, relays.
     pub lab_cores: [f64; 3],
 }
--- a/lab/src/scale/sample.rs
+++ b/lab/src/scale/sample.rs
@@ -41,6 +41,7 @@
     proxy_threads: Duration,
     backend_threads: Duration,
     relay_thread: Duration,
+    machine: Duration,
     proxies_passed: Passed,
     backends_passed: Passed,
     between_nodes: Passed,
@@ -65,6 +66,7 @@
             proxy_threads: usage::of_threads(proxies::THREADS)?,
             backend_threads: usage::of_threads(backends::THREADS)?,
             relay_thread: usage::of_threads(RELAY_THREAD)?,
+            machine: usage::of_machine()?,
             proxies_passed: self.proxy_meter.passed(),
             backends_passed: self.backend_meter.passed(),
             between_nodes: sum(self.cluster.links().map(passed_by)),
@@ -118,6 +120,7 @@
             leader_changes: running.leaders.windows(2).filter(|two| two[0] != two[1]).count(),
             fewest_entries: running.fewest_entries,
             heartbeats: heartbeats(&self.backends.take_counts()),
+            machine_cores: cores(from.machine, to.machine),
             lab_cores: [
                 proxies_cores,
                 cores(from.backend_threads, to.backend_threads),
--- a/lab/src/usage.rs
+++ b/lab/src/usage.rs
@@ -9,6 +9,10 @@
 /// Places of `utime` and `stime` among the fields behind the command's name.
 const USER_TIME_FIELD: usize = 11;
 const SYSTEM_TIME_FIELD: usize = 12;
+/// Fields of the first line of `/proc/stat` that add up to the whole time: those behind them are parts of others.
+const MACHINE_FIELDS: usize = 8;
+/// `idle` and `iowait` among them.
+const IDLE_FIELDS: std::ops::Range<usize> = 3..5;
 
 /// What one process has used since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -69,14 +73,38 @@
     processor_time(&std::fs::read_to_string(directory.join("stat")).ok()?)
 }
 
+/// The processor time that all processes of the machine have used, its own work included, since it started.
+///
+/// # Errors
+/// Where it can't be read.
+pub fn of_machine() -> Result<Duration> {
+    busy_time(&std::fs::read_to_string("/proc/stat")?).ok_or_else(malformed)
+}
+
+/// The time that all processors were neither idle nor waiting for a disk, from the text of `/proc/stat`.
+fn busy_time(stat: &str) -> Option<Duration> {
+    let fields = stat.lines().find_map(|line| line.strip_prefix("cpu "))?;
+    let ticks: Vec<u64> = fields
+        .split_whitespace()
+        .take(MACHINE_FIELDS)
+        .map(str::parse)
+        .collect::<std::result::Result<_, _>>()
+        .ok()?;
+    let idle: u64 = ticks.get(IDLE_FIELDS)?.iter().sum();
+    Some(duration(ticks.iter().sum::<u64>() - idle))
+}
+
+fn duration(ticks: u64) -> Duration {
+    Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
+}
+
 /// User and system time from the text of a `stat` file.
 fn processor_time(stat: &str) -> Option<Duration> {
     // The command's name stands in parentheses and may hold spaces and parentheses of its own.
     let (_, fields) = stat.rsplit_once(')')?;
     let fields: Vec<&str> = fields.split_whitespace().collect();
     let ticks = |field: usize| fields.get(field)?.parse::<u64>().ok();
-    let total = ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?;
-    Some(Duration::from_millis(total * 1_000 / TICKS_PER_SECOND))
+    Some(duration(ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?))
 }
 
 /// The number behind `name` in a file of lines `name: number unit`.
--- a/lab/src/usage/tests.rs
+++ b/lab/src/usage/tests.rs
@@ -23,3 +23,12 @@
     let usage = of_self().expect("this process is in /proc");
     assert!(usage.resident_kb > 0 && usage.peak_kb >= usage.resident_kb);
 }
+
+#[test]
+fn the_machine_is_busy_when_it_neither_idles_nor_waits_for_a_disk() {
+    // user, nice, system, idle, iowait, irq, softirq, steal; guest is part of user.
+    let stat = "cpu  100 10 50 9000 800 5 15 20 70 0\ncpu0 1 1 1 1 1 1 1 1 0 0\n";
+    assert_eq!(busy_time(stat), Some(Duration::from_millis(2_000)));
+    assert_eq!(busy_time("cpu  1 2 3\n"), None);
+    assert_eq!(busy_time("intr 5\n"), None);
+}
