Give each call of a chain's backends an id of its own

The lab's backends passed X-Txn on with their own call, so that a second copy met a proxy that knew the id and refused it, as it should: every request has an id of its own.

Each onward call now has a fresh id. Also: a size without an acknowledged change shows 0 and not -0, and a test of deliveries would miss that older numbers were counted.

Test: two onward calls for one request.

--- a/lab/src/overhead/backend.rs
+++ b/lab/src/overhead/backend.rs
@@ -6,15 +6,21 @@
 use crate::rt::Loop;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::net::{TcpListener, TcpStream};
 
 /// The header that says on which side a call goes on.
 pub const SIDE_HEADER: &str = "x-side";
 /// Headers that a backend passes on with its own call; their names as read are lower-case.
-const PASSED_ON: [&str; 5] = ["x-txn", "x-lane", "x-org", "x-remaining-ms", SIDE_HEADER];
+const PASSED_ON: [&str; 4] = ["x-lane", "x-org", "x-remaining-ms", SIDE_HEADER];
+/// The first id of backends' own calls, above all that the clients use: every request has an id of its own.
+const FIRST_ID: u64 = 1 << 63;
 /// The body of every answer of the last level.
 const BODY: &[u8] = b"{\"status\":\"done\"}";
 
+/// Counts the ids of backends' own calls.
+static NEXT_ID: AtomicU64 = AtomicU64::new(FIRST_ID);
+
 /// How a side is named in the header.
 pub fn side_name(side: Side) -> &'static str {
     match side {
@@ -101,8 +107,10 @@
     }
 }
 
-fn next_request(request: &Message) -> Vec<u8> {
-    let mut text = format!("{} HTTP/1.1\r\nHost: next\r\n", request_target(request));
+/// A backend's own call for a request that it was sent.
+pub fn next_request(request: &Message) -> Vec<u8> {
+    let (target, id) = (request_target(request), NEXT_ID.fetch_add(1, Ordering::Relaxed));
+    let mut text = format!("{target} HTTP/1.1\r\nHost: next\r\nX-Txn: {id:016x}\r\n");
     for name in PASSED_ON {
         if let Some(value) = request.header(name) {
             text.push_str(&format!("{name}: {value}\r\n"));
--- a/lab/src/overhead/tests.rs
+++ b/lab/src/overhead/tests.rs
@@ -1,12 +1,14 @@
 //! Tests of what is pure: the plan, merging, and the differences.
 
+use super::backend::next_request;
 use super::figures::{merged, of_rate, quantiles};
 use super::load::{Outcome, empty_histogram};
 use super::plan::{Block, Side, blocks, due_times};
 use super::{BlockResult, Options, OverheadReport};
+use crate::http::Message;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const RATE: f64 = 100.0;
 
@@ -128,3 +130,20 @@
     assert!(Options { block_seconds: f64::NAN, ..options(1.0) }.check().is_err());
     assert!(Options { seconds: 1.0, ..options(1.0) }.check().is_err());
 }
+
+#[test]
+fn each_call_of_a_backend_has_an_id_of_its_own_and_goes_on_on_the_same_side() {
+    let headers = [("x-txn", "000000000000002a"), ("x-lane", "status-check"), ("x-side", "through")];
+    let request = Message {
+        first: "GET /v1/messages/42 HTTP/1.1".into(),
+        headers: headers.map(|(name, value)| (name.to_string(), value.to_string())).to_vec(),
+        body: Vec::new(),
+        began: Instant::now(),
+    };
+    let text = |request| String::from_utf8(next_request(request)).expect("a head of ASCII");
+    let (first, second) = (text(&request), text(&request));
+    let id = |text: &str| text.lines().find_map(|line| line.strip_prefix("X-Txn: ")).map(str::to_string);
+    assert!(id(&first).is_some_and(|id| id.len() == 16) && id(&first) != id(&second), "{first}{second}");
+    assert!(!first.contains("000000000000002a"), "a repeat of the client's id would be refused");
+    assert!(first.starts_with("GET /v1/messages/42 HTTP/1.1\r\n") && first.contains("x-side: through\r\n"));
+}
--- a/lab/src/scale/result.rs
+++ b/lab/src/scale/result.rs
@@ -187,7 +187,8 @@
             p50_ms: quantile(&delays, 0.5),
             p99_ms: quantile(&delays, 0.99),
             max_ms: quantile(&delays, 1.0),
-            mean_to_all_ms: slowest.iter().sum::<f64>() / slowest.len().max(1) as f64,
+            mean_to_all_ms: slowest.iter().fold(0.0, |sum, slowest| sum + slowest)
+                / slowest.len().max(1) as f64,
             phase,
         }
     }
--- a/lab/src/scale/tests.rs
+++ b/lab/src/scale/tests.rs
@@ -123,6 +123,7 @@
     ledger.tell(0, 6);
     ledger.tell(1, 7);
     ledger.tell(1, 7);
+    ledger.tell(2, 4);
     assert_eq!((ledger.count(5), ledger.count(7)), (2, 1));
     let delivery = ledger.delivery(5, sent);
     assert_eq!((delivery.delays.len(), delivery.missed), (2, 1));
