--- a/src/agreement/state.rs
+++ b/src/agreement/state.rs
@@ -3,14 +3,18 @@
 //! applied from the replicated log, every command with the log's time, so that all nodes come to the same.
 //!
 //! Invariants, each checked by the model in `tests/agreement_model.rs`:
-//! - a slot belongs to one session at a time, and is free again only once that session has run out by the log's
-//!   clock, was closed by its owner, or was never granted;
+//! - a slot belongs to one session at a time, and is free again only once that session has run out, was closed by its
+//!   owner, or was never granted;
 //! - every session has acknowledged every version committed while it lived: it acknowledges the offer, or has
 //!   run out before the commit, and a new one opens only once it holds what is offered;
 //! - one version is offered at a time, and every offer ends: all sessions acknowledge it (committed), one cannot
 //!   apply it (withdrawn), or those that do neither are renewed no more a TTL after the offer and run out a TTL
 //!   later at the latest;
 //! - a version once committed stays committed until a later one is.
+//!
+//! Sessions run out by the leader's word ([`Agreement::lapse`]), which keeps their renewals in memory
+//! (`registry::liveness`); in the part of a log that was written before [`Agreement::lapse_by_command`], by their own
+//! time.
 
 use super::document::{Document, DocumentError};
 use serde::{Deserialize, Serialize};
@@ -52,6 +56,19 @@
     pub list: u64,
 }
 
+impl Renewal {
+    /// What a proxy has said once `next` has come too: calls may overtake one another, and what was said later stays.
+    pub fn followed_by(&self, next: &Renewal, holds: u64) -> Self {
+        Self {
+            session: next.session,
+            holds: holds.max(self.holds),
+            in_force: next.in_force.max(self.in_force),
+            members: next.members.max(self.members),
+            list: next.list.max(self.list),
+        }
+    }
+}
+
 /// A change asked of the agreement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "op", rename_all = "snake_case")]
@@ -268,6 +285,9 @@
     /// The revision of the latest change told to watchers.
     changed: u64,
     ended: VecDeque<Ended>,
+    /// Sessions run out by [`Agreement::lapse`] alone, whatever their own time says.
+    #[serde(default)]
+    lapse_by_command: bool,
 }
 
 fn text(what: &str, text: &str, least: usize) -> Result<(), AgreeError> {
@@ -348,10 +368,34 @@
         }
     }
 
-    /// Lets time pass: sessions that have run out end, and the membership is cut anew if it has changed.
+    /// From now on sessions run out by [`Agreement::lapse`] alone.
+    pub fn lapse_by_command(&mut self) {
+        self.lapse_by_command = true;
+    }
+
+    /// Whether a session has run out by its own time.
+    fn has_run_out(&self, session: &Session, at_ms: u64) -> bool {
+        !self.lapse_by_command && session.expires_at_ms <= at_ms
+    }
+
+    /// Whether a session has let its TTL pass since the offer without acknowledging it: it is renewed no more.
+    pub fn is_overdue(&self, session: &Session, at_ms: u64) -> bool {
+        self.offered > session.acknowledged && at_ms > self.offered_at_ms + session.ttl_ms
+    }
+
+    /// Ends sessions that have run out; those that have ended already are passed over.
+    pub fn lapse(&mut self, sessions: &[u64], at_ms: u64, revision: &mut u64) {
+        for id in sessions {
+            self.end(*id, "ran out", at_ms);
+        }
+        self.tick(at_ms, revision);
+    }
+
+    /// Lets time pass: sessions that have run out by their own time end, and the membership is cut anew if it has
+    /// changed.
     pub fn tick(&mut self, at_ms: u64, revision: &mut u64) {
         let out: Vec<u64> =
-            self.sessions.iter().filter(|(_, s)| s.expires_at_ms <= at_ms).map(|(id, _)| *id).collect();
+            self.sessions.iter().filter(|(_, s)| self.has_run_out(s, at_ms)).map(|(id, _)| *id).collect();
         for id in out {
             self.end(id, "ran out", at_ms);
         }
@@ -369,7 +413,7 @@
 
     /// Whether a tick at `at_ms` would change anything.
     pub fn due(&self, at_ms: u64) -> bool {
-        self.moved || self.sessions.values().any(|s| s.expires_at_ms <= at_ms)
+        self.moved || self.sessions.values().any(|s| self.has_run_out(s, at_ms))
     }
 
     fn open(
@@ -414,23 +458,15 @@
 
     /// Renews one session, or says why not.
     fn renew(&mut self, renewal: &Renewal, at_ms: u64) -> Result<(), String> {
-        let (offered, offered_at) = (self.offered, self.offered_at_ms);
-        let session = self.sessions.get_mut(&renewal.session).filter(|s| s.expires_at_ms > at_ms);
-        let session = session.ok_or_else(|| AgreeError::Lost(renewal.session).to_string())?;
+        let known = self.sessions.get(&renewal.session).filter(|s| !self.has_run_out(s, at_ms));
+        let mut session = known.cloned().ok_or_else(|| AgreeError::Lost(renewal.session).to_string())?;
         session.acknowledged = session.acknowledged.max(renewal.holds);
-        if offered > session.acknowledged && at_ms > offered_at + session.ttl_ms {
-            return Err(format!("version {offered} was not acknowledged within the TTL"));
+        if self.is_overdue(&session, at_ms) {
+            return Err(format!("version {} was not acknowledged within the TTL", self.offered));
         }
         session.expires_at_ms = session.expires_at_ms.max(at_ms + session.ttl_ms);
-        // Calls may overtake one another: what was said later stays.
-        let later = |now: u64, then: u64| now.max(then);
-        session.said = Renewal {
-            session: renewal.session,
-            holds: session.acknowledged,
-            in_force: later(renewal.in_force, session.said.in_force),
-            members: later(renewal.members, session.said.members),
-            list: later(renewal.list, session.said.list),
-        };
+        session.said = session.said.followed_by(renewal, session.acknowledged);
+        self.sessions.insert(renewal.session, session);
         Ok(())
     }
 
@@ -451,7 +487,7 @@
             self.remember(Ended { session: 0, name: name.into(), slot: 0, said, why, at_ms });
             return Ok(());
         };
-        if self.sessions.get(&session).is_none_or(|s| s.expires_at_ms <= at_ms) {
+        if self.sessions.get(&session).is_none_or(|s| self.has_run_out(s, at_ms)) {
             return Err(AgreeError::Lost(session));
         }
         if version != self.offered || version == 0 {
@@ -469,7 +505,7 @@
     fn settle(&mut self, at_ms: u64, revision: &mut u64) {
         loop {
             if self.offered > 0 {
-                let live = |s: &&Session| s.expires_at_ms > at_ms;
+                let live = |s: &&Session| !self.has_run_out(s, at_ms);
                 if self.sessions.values().filter(live).any(|s| s.acknowledged < self.offered) {
                     return;
                 }
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -1,8 +1,9 @@
 //! Leases on duties that one process may hold at a time: the holder's handle, which knows when it may no
 //! longer act, and the fencing check that a resource makes of every act.
 //!
-//! The grants themselves are kept by the list service (`registry::store`, commands `Acquire`, `KeepAlive`,
-//! `Release`), where each new grant's fencing token is the revision that it makes, so tokens only grow.
+//! The grants themselves are kept by the list service (`registry::store`, commands `Acquire`, `Release`, `Lapse`), where
+//! each new grant's fencing token is the revision that it makes, so tokens only grow; renewals are kept by its leader in
+//! memory (`registry::liveness`, which proves that a grant outlives a change of leader).
 //!
 //! **The holder's bound.** A grant or renewal sent at local time `s` is held by the service at least until
 //! `s + ttl` in real time, since the service counts the TTL from when the request reached it, which is after
--- a/src/registry/agreed.rs
+++ b/src/registry/agreed.rs
@@ -4,45 +4,32 @@
 //!   to T ms (at most 60,000) for a change after R. `have=V,W` leaves the documents of those versions out.
 //! - `POST /v1/session/open {"name","ttlMs","holds"}` is answered `{"session","slot","agreed","list"}`, or 409 with
 //!   `"hold":V` where version V has to be held first.
-//! - `POST /v1/session/renew` takes a [`Renewal`] and is answered `{"agreed","list"}`, or 409 where the session is
-//!   lost. Renewals that wait at a node at one time go into the log together.
+//! - `POST /v1/session/renew` takes a [`crate::agreement::state::Renewal`] and is answered `{"agreed","list"}`, or 409
+//!   where the session is lost; it is not written but for an acknowledgement (`keepalive`).
 //! - `POST /v1/session/close {"session"}`; `POST /v1/session/refuse {"session"?,"name","version","why"}`.
 //! - `POST /v1/settings {"parent","by","note"?,"document"}` publishes: `{"version"}`, 400 with the `"key"` that is
 //!   wrong, or 409 with the `"head"` and its document where the parent is not the head.
 //! - `GET /v1/settings` answers the head, the committed and the offered version; with `version=V` that one;
 //!   `GET /v1/settings/history` every version without its document, latest first.
-//! - `GET /v1/fleet` answers every session, and those that ended.
+//! - `GET /v1/fleet` answers every session, and those that ended, as the node that leads knows them.
 
 use super::api::{Api, Reply, Undone, bad, json_reply, list_reply, parameter, text_parameter};
+use super::keepalive::PASSED_ON;
 use super::store::StoreError;
 use crate::agreement::document::Document;
-use crate::agreement::state::{AgreeError, Agreement, Command as Change, Done, Fate, Renewal, Version};
+use crate::agreement::state::{AgreeError, Agreement, Command as Change, Done, Fate, Version};
 use crate::agreement::{Agreed, Shown, ShownMembers};
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 
-/// Most renewals written together: as JSON well within a record of the log.
-const MOST_TOGETHER: usize = 256;
 /// Longest wait of a watch, as for the list's.
 const MOST_WAIT_MS: u64 = 60_000;
 
-/// How a batch of renewals ended: the status and the body of its answer.
-type Together = (StatusCode, Value);
-
-/// Renewals that wait until the ones before them are written.
-#[derive(Default)]
-pub(super) struct Renewals {
-    waiting: RefCell<Vec<(Renewal, oneshot::Sender<Together>)>>,
-    writing: Cell<bool>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 struct Open {
@@ -78,14 +65,6 @@
     document: Box<serde_json::value::RawValue>,
 }
 
-/// Several renewals, as one node passes them on to another, or one.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Renew {
-    Several { renewals: Vec<Renewal> },
-    One(Renewal),
-}
-
 /// Reads the body of a call into its change.
 pub(super) fn change(path: &str, body: &[u8]) -> Result<Change, Undone> {
     Ok(match path {
@@ -93,10 +72,6 @@
             let Open { name, ttl_ms, holds } = serde_json::from_slice(body).map_err(bad)?;
             Change::Open { name, ttl_ms, holds }
         }
-        "/v1/session/renew" => match serde_json::from_slice(body).map_err(bad)? {
-            Renew::Several { renewals } => Change::Renew { renewals },
-            Renew::One(renewal) => Change::Renew { renewals: vec![renewal] },
-        },
         "/v1/session/close" => {
             let Close { session } = serde_json::from_slice(body).map_err(bad)?;
             Change::Close { session }
@@ -244,16 +219,34 @@
         json_reply(StatusCode::OK, json!({"versions": all}).to_string())
     }
 
-    /// How every proxy stands, as it said last.
-    pub(super) fn fleet(&self) -> Reply {
+    /// How every proxy stands, as it said last: asked of the node that leads, which alone hears them; this one's own
+    /// word where that is not reached.
+    pub(super) async fn fleet(&self, passed_on: bool) -> Result<Reply, Undone> {
+        let leader = self.node.leader().filter(|leader| *leader != self.node.id() && !passed_on);
+        if let Some(leader) = leader {
+            let request = Request::get("/v1/fleet").header("host", "list").header(PASSED_ON, "1");
+            let request = request.body(Full::new(Bytes::new())).map_err(bad)?;
+            let answer = self.node.pass_on(leader, request, self.write_within).await;
+            if let Ok(answer) = answer
+                && answer.status() == StatusCode::OK
+            {
+                return Ok(answer.map(Full::new));
+            }
+        }
+        Ok(self.fleet_as_known_here())
+    }
+
+    fn fleet_as_known_here(&self) -> Reply {
+        let now = self.node.log_time();
         let store = self.node.shared().store();
-        let (agreement, now) = (store.agreement(), store.clock_ms());
+        let agreement = store.agreement();
         let sessions: Vec<Value> = agreement
             .sessions()
             .iter()
-            .map(|(id, s)| {
-                json!({"session": id, "name": s.name, "slot": s.slot, "ttlMs": s.ttl_ms, "said": s.said,
-                       "leftMs": s.expires_at_ms.saturating_sub(now)})
+            .map(|(id, session)| {
+                let (said, left_ms) = self.node.session_state(*id, session, now);
+                json!({"session": id, "name": session.name, "slot": session.slot, "ttlMs": session.ttl_ms,
+                       "said": said, "leftMs": left_ms})
             })
             .collect();
         let ended: Vec<Value> = agreement
@@ -271,54 +264,4 @@
         });
         json_reply(StatusCode::OK, body.to_string())
     }
-
-    /// Renews a session, together with others that wait: one entry of the log for all that came while the one
-    /// before was written.
-    pub(super) async fn renew(&self, body: &[u8]) -> Result<Reply, Undone> {
-        let renewal: Renewal = serde_json::from_slice(body).map_err(bad)?;
-        let (tell, told) = oneshot::channel();
-        self.renewals.waiting.borrow_mut().push((renewal, tell));
-        if !self.renewals.writing.replace(true) {
-            let this = self.this();
-            tokio::task::spawn_local(async move {
-                // The node goes on for as long as the process, and the batch with it.
-                if let Some(api) = this.upgrade() {
-                    api.write_renewals().await;
-                }
-            });
-        }
-        let gone = |_| Undone::with(StatusCode::SERVICE_UNAVAILABLE, "the batch broke off", Value::Null);
-        let (status, mut body) = told.await.map_err(gone)?;
-        if status != StatusCode::OK {
-            return Ok(json_reply(status, body.to_string()));
-        }
-        let lost = body["lost"][renewal.session.to_string()].take();
-        if let Value::String(why) = lost {
-            return Err(Undone::with(StatusCode::CONFLICT, why, Value::Null));
-        }
-        body.as_object_mut().map(|all| all.remove("lost"));
-        Ok(json_reply(StatusCode::OK, body.to_string()))
-    }
-
-    async fn write_renewals(&self) {
-        loop {
-            let batch: Vec<_> = {
-                let mut waiting = self.renewals.waiting.borrow_mut();
-                let count = waiting.len().min(MOST_TOGETHER);
-                waiting.drain(..count).collect()
-            };
-            if batch.is_empty() {
-                return self.renewals.writing.set(false);
-            }
-            let renewals: Vec<Renewal> = batch.iter().map(|(renewal, _)| *renewal).collect();
-            let body = json!({"renewals": renewals}).to_string().into();
-            let reply = self.write("/v1/session/renew", body, false).await.unwrap_or_else(Reply::from);
-            let status = reply.status();
-            let body = reply.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
-            let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-            for (_, tell) in batch {
-                let _ = tell.send((status, body.clone())); // its caller may have gone
-            }
-        }
-    }
 }
--- a/src/registry/api.rs
+++ b/src/registry/api.rs
@@ -10,11 +10,12 @@
 //! For backends and operators, JSON bodies by `POST`, each answered `{"revision":N}` once committed on a
 //! quorum and durable there or, refused, 400/404 `{"error":"…"}` with nothing changed:
 //! - `/v1/register`: an instance object as discovery lists it, plus `ttlMs`;
-//! - `/v1/heartbeat`, `/v1/deregister`, `/v1/drain`: `{"instanceId":"…"}`;
+//! - `/v1/deregister`, `/v1/drain`: `{"instanceId":"…"}`;
 //! - `/v1/weight`: `{"instanceId":"…","weight":W}`;
 //! - `/v1/lease/acquire`: `{"name":"…","holder":"…","ttlMs":T}`, answered `{"revision":N,"token":K}`, or 409
 //!   with the holder where another holds it unexpired;
-//! - `/v1/lease/keepalive` and `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost;
+//! - `/v1/lease/release`: `{"name":"…","token":K}`; 409 where that grant is lost;
+//! - `/v1/heartbeat`, `/v1/lease/keepalive` and `/v1/keepalive`: renewals, which are not written (`keepalive`);
 //! - `/v1/settings` and `/v1/session/…`: settings, sessions and membership, as `agreed` describes them;
 //! - `/v1/cluster/forget`: `{"node":N}` takes a node whose disk is lost out of the members; it comes back with
 //!   an empty directory and `join = true`.
@@ -26,7 +27,8 @@
 //! `GET /v1/status` tells the node's number, leader, members, revision and age. `/raft/…` is for other nodes
 //! (`raft::network`); the port is for the fleet's own network.
 
-use super::agreed::{self, Renewals};
+use super::agreed;
+use super::keepalive::{self, Batches, PASSED_ON};
 use super::node::{Node, ProposeError};
 use super::raft::Applied;
 use super::raft::network::{self, CallError};
@@ -55,8 +57,6 @@
 const MOST_WRITES: usize = 4_096;
 /// How long the answer about this node's own standing may be waited for, when it passes on its own command.
 const OWN_WITHIN: Duration = Duration::from_secs(2);
-/// Marks a write that another node has passed on: it is not passed on again.
-const PASSED_ON: &str = "x-passed-on";
 /// How old the list of an answer may be, in milliseconds (see the module's text).
 const AGE: &str = "x-list-age-ms";
 
@@ -69,14 +69,14 @@
     watching: Cell<usize>,
     writing: Cell<usize>,
     most_watchers: usize,
-    write_within: Duration,
+    pub(super) write_within: Duration,
     /// The latest news as text, with the revisions it leads from and to: most watchers wait at one revision, and
     /// are sent the same.
     latest: RefCell<Option<(u64, u64, Bytes)>>,
     /// The same of what is agreed, with the versions that the watcher has.
     pub(super) latest_agreed: RefCell<Option<(u64, String, Bytes)>>,
-    /// Renewals of sessions that wait to be written together.
-    pub(super) renewals: Renewals,
+    /// Renewals that wait to be passed on together.
+    pub(super) batches: Batches,
 }
 
 /// Why a write is not done: the status, the reason, and whether it may still come to be applied.
@@ -93,6 +93,16 @@
     pub(super) fn with(status: StatusCode, why: impl ToString, more: serde_json::Value) -> Self {
         Self { more, ..undone(status, why, None) }
     }
+
+    /// Not done for now; `outcome` says whether it may still come to be.
+    pub(super) fn unavailable(why: impl ToString, outcome: &'static str) -> Self {
+        undone(StatusCode::SERVICE_UNAVAILABLE, why, Some(outcome))
+    }
+
+    /// Not done, as another node has to do it.
+    pub(super) fn misdirected() -> Self {
+        undone(StatusCode::MISDIRECTED_REQUEST, "this node does not lead", Some("none"))
+    }
 }
 
 impl From<Undone> for Reply {
@@ -205,9 +215,6 @@
                 ttl_ms: ttl_ms.ok_or_else(|| missing("ttlMs"))?,
                 at_ms: 0,
             },
-            "keepalive" => {
-                Command::KeepAlive { name, token: token.ok_or_else(|| missing("token"))?, at_ms: 0 }
-            }
             "release" => Command::Release { name, token: token.ok_or_else(|| missing("token"))? },
             _ => return Err(unknown()),
         });
@@ -230,7 +237,6 @@
     }
     let Named { instance_id, weight } = serde_json::from_slice(body).map_err(bad)?;
     match (path, weight) {
-        ("/v1/heartbeat", None) => Ok(Command::Heartbeat { instance_id, at_ms: 0 }),
         ("/v1/deregister", None) => Ok(Command::Deregister { instance_id }),
         ("/v1/drain", None) => Ok(Command::Drain { instance_id }),
         ("/v1/weight", Some(weight)) => Ok(Command::SetWeight { instance_id, weight }),
@@ -253,7 +259,7 @@
             write_within,
             latest: RefCell::default(),
             latest_agreed: RefCell::default(),
-            renewals: Renewals::default(),
+            batches: Batches::default(),
         })
     }
 
@@ -287,7 +293,9 @@
             (Method::GET, "/v1/agreed") => self.agreed(&query).await.unwrap_or_else(Reply::from),
             (Method::GET, "/v1/settings") => self.settings(&query).unwrap_or_else(Reply::from),
             (Method::GET, "/v1/settings/history") => self.settings_history(),
-            (Method::GET, "/v1/fleet") => self.fleet(),
+            (Method::GET, "/v1/fleet") => {
+                self.fleet(request.headers().contains_key(PASSED_ON)).await.unwrap_or_else(Reply::from)
+            }
             (Method::GET, "/-/ready") => json_reply(StatusCode::OK, "{}".into()),
             (Method::GET, "/v1/status") => json_reply(StatusCode::OK, self.status().to_string()),
             (Method::GET, "/raft/joined") => match parameter(&query, "node") {
@@ -300,11 +308,8 @@
             (Method::POST, write) if write.starts_with("/v1/") => {
                 let passed_on = request.headers().contains_key(PASSED_ON);
                 match Limited::new(request.into_body(), MOST_BODY).collect().await {
-                    Ok(body) if write == "/v1/session/renew" && !passed_on => {
-                        self.renew(&body.to_bytes()).await.unwrap_or_else(Reply::from)
-                    }
                     Ok(body) => {
-                        self.write(write, body.to_bytes(), passed_on).await.unwrap_or_else(Reply::from)
+                        self.post(write, body.to_bytes(), passed_on).await.unwrap_or_else(Reply::from)
                     }
                     Err(_) => error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 64 KiB"),
                 }
@@ -335,6 +340,9 @@
             Ok(body) => body.to_bytes(),
             Err(_) => return error(StatusCode::PAYLOAD_TOO_LARGE, "a body of at most 8 MiB"),
         };
+        if call == "vote" && !self.node.may_vote() {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "this node does not vote yet");
+        }
         match network::serve(raft, call, &body).await {
             Ok(body) => {
                 if call == "append" {
@@ -387,6 +395,14 @@
         body
     }
 
+    /// Does what a `POST` asks for: renewals in memory, all else in the log.
+    async fn post(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
+        match keepalive::renewals(path, &body) {
+            Some(renewals) => self.keep_alive(path, renewals?, passed_on).await,
+            None => self.write(path, body, passed_on).await,
+        }
+    }
+
     /// Has a write done here or by the node that leads; a refusal is its status and its reason.
     pub(super) async fn write(&self, path: &str, body: Bytes, passed_on: bool) -> Result<Reply, Undone> {
         let command = command(path, &body)?;
@@ -436,7 +452,7 @@
                 }
             };
             if passed_on {
-                return Err(undone(StatusCode::MISDIRECTED_REQUEST, "this node does not lead", Some("none")));
+                return Err(Undone::misdirected());
             }
             if let Some(leader) = leader {
                 let request = Request::post(path).header("host", "list").header(PASSED_ON, "1");
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,11 +1,13 @@
 //! The list service: discovery of the project's own (`PROTOCOL`, "Discovery"), with a write API for
 //! backends and operators, replicated on 3 or 5 nodes (or on one). `store` is its pure state machine, `raft`
-//! the replicated log that it is applied from, `clock` the log's time, `node` one node with its watches, `api`
-//! serves HTTP, and `agreed` its part for settings and sessions.
+//! the replicated log that it is applied from, `clock` the log's time, `liveness` the leader's memory of renewals, `node`
+//! one node with its watches, `api` serves HTTP, with `agreed` for settings and sessions and `keepalive` for renewals.
 
 mod agreed;
 pub mod api;
 pub mod clock;
+mod keepalive;
+pub mod liveness;
 pub mod node;
 pub mod raft;
 pub mod store;
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -1,26 +1,31 @@
 //! One list-service node: the Raft that orders its commands, the store they are applied to, the log's clock,
-//! the watches and the expiry of lapsed entries.
+//! the watches, the renewals and the end of what is renewed no more.
 //!
 //! Reads are answered from this node's own store, on followers too: everything in it is committed, and its
 //! revision only grows. How far it may be behind is told with each answer ([`Node::age`]). Writes are ordered
 //! by the leader; a node that does not lead passes them on (`api`), and one that sees no leader refuses them.
 //!
+//! Renewals are heard by the leader and written nowhere ([`super::liveness`]).
+//!
 //! A node whose disk refuses a write has failed: Raft stops, and it answers nothing but that error, so that
 //! clients go to another node (fail-stop).
 
 use super::RegistryConfig;
 use super::clock::LogClock;
+use super::liveness::{Liveness, Lost, Renewals};
 use super::raft::log::{DiskError, Log, Recovered};
 use super::raft::machine::{Machine, Shared};
 use super::raft::network::{CallError, Network, Peer, SNAPSHOT_CHUNK};
+use super::raft::quorum_lease::QuorumLease;
 use super::raft::{Applied, NodeId, Raft};
-use super::store::{Command, Store, StoreError};
-use crate::agreement::state::Command as Change;
+use super::store::{Command, GrantId, Lapsed, Store, StoreError};
+use crate::agreement::state::{Command as Change, Done, Renewal, Session};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::{ChangeMembers, SnapshotPolicy};
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -78,6 +83,30 @@
     Replaced(NodeId),
 }
 
+/// What a call's renewals came to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewed {
+    /// The revision now.
+    pub revision: u64,
+    /// The revision of the agreement's latest change.
+    pub agreed: u64,
+    /// The revision of the list's latest change.
+    pub list: u64,
+    /// What was not renewed.
+    pub lost: Lost,
+}
+
+impl Renewed {
+    /// Takes in what writing the acknowledgements came to, which went with the renewals.
+    pub fn take_in(&mut self, applied: Applied) {
+        self.revision = self.revision.max(applied.revision);
+        if let Done::Renewed { lost, upto } = applied.done {
+            (self.agreed, self.list) = (self.agreed.max(upto.agreed), self.list.max(upto.list));
+            self.lost.sessions.extend(lost);
+        }
+    }
+}
+
 /// One node.
 pub struct Node {
     id: NodeId,
@@ -88,6 +117,12 @@
     join: bool,
     /// Whether this node may take part: see [`Node::take_part`].
     admitted: Cell<bool>,
+    /// Whether it may vote and stand for election.
+    may_vote: Cell<bool>,
+    /// The longest time without a leader after which a node stands for election.
+    election: Duration,
+    quorum_lease: QuorumLease,
+    liveness: RefCell<Liveness>,
     clock: RefCell<LogClock>,
     started: Instant,
     /// A fault for tests: how far the monotonic clock jumps, when.
@@ -111,6 +146,8 @@
         snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_EVERY),
         // So many of the largest records are still within the largest body of a call between nodes.
         max_payload_entries: MOST_ENTRIES_A_CALL,
+        // `Node::take_part` says from when on.
+        enable_elect: false,
         max_in_snapshot_log_to_keep: KEPT_BEHIND,
         purge_batch_size: KEPT_BEHIND,
         ..Default::default()
@@ -131,7 +168,8 @@
         let machine = Machine::open(config.data_dir.as_deref(), log.purged())?;
         let shared = machine.shared();
         let peers: Arc<BTreeMap<_, _>> = Arc::new(config.peers.iter().map(|p| (p.node, p.address)).collect());
-        let network = Network { peers: peers.clone(), node: config.node };
+        let quorum_lease = QuorumLease::default();
+        let network = Network { peers: peers.clone(), node: config.node, quorum_lease: quorum_lease.clone() };
         let fails = |e: &dyn std::fmt::Display| NodeError::Raft(e.to_string());
         let raft = Raft::new(config.node, Arc::new(raft_config(config)?), network, log.clone(), machine)
             .await
@@ -145,6 +183,10 @@
             peers,
             join: config.join,
             admitted: Cell::new(false),
+            may_vote: Cell::new(false),
+            election: Duration::from_millis(config.election_ms[1]),
+            quorum_lease,
+            liveness: RefCell::default(),
             clock: RefCell::new(LogClock::new(Duration::from_secs_f64(EPOCH_S), step)),
             started: Instant::now(),
             jump: config
@@ -194,6 +236,12 @@
             tokio::time::sleep(ROUND).await;
         }
         self.admitted.set(true);
+        if !self.log.is_new() && !self.peers.is_empty() {
+            // It may have taken a leader's call just before it ended, which is forgotten: see `quorum_lease`.
+            tokio::time::sleep(self.election).await;
+        }
+        self.may_vote.set(true);
+        self.raft.runtime_config().elect(true);
         if self.log.is_new() && !founded && !self.join {
             let members: BTreeSet<NodeId> = self.peers.keys().copied().chain([self.id]).collect();
             // Each founder says the same; one that hears of the cluster first need not.
@@ -244,6 +292,11 @@
         self.admitted.get().then_some(&self.raft)
     }
 
+    /// Whether this node may vote.
+    pub fn may_vote(&self) -> bool {
+        self.may_vote.get()
+    }
+
     /// Whether this node's log holds a cluster, and the incarnation by which `node` takes part, if it does.
     pub fn knows(&self, node: NodeId) -> (Option<u64>, bool) {
         (self.shared.store().joined(node), !self.log.is_new())
@@ -287,12 +340,16 @@
         if !self.leads() {
             return Err(ProposeError::NotLeader(self.leader().filter(|leader| *leader != self.id)));
         }
+        if let Command::Acquire { name, holder, .. } = &command {
+            self.end_former_grant(name, holder, within).await?;
+        }
         let now = self.now();
         match &mut command {
             Command::Register { at_ms, .. }
             | Command::Heartbeat { at_ms, .. }
             | Command::Acquire { at_ms, .. }
             | Command::KeepAlive { at_ms, .. }
+            | Command::Lapse { at_ms, .. }
             | Command::Expire { at_ms } => *at_ms = now,
             Command::Agree { at_ms, change } => {
                 *at_ms = now;
@@ -307,8 +364,13 @@
             | Command::Drain { .. }
             | Command::Join { .. }
             | Command::Forget { .. }
+            | Command::LapseByCommand
             | Command::Release { .. } => {}
         }
+        self.commit(command, within).await
+    }
+
+    async fn commit(&self, command: Command, within: Duration) -> Result<Applied, ProposeError> {
         match tokio::time::timeout(within, self.raft.client_write(command)).await {
             Ok(Ok(written)) => Ok(written.data?),
             Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(to)))) => {
@@ -459,22 +521,131 @@
         let _ = tokio::time::timeout(ROUND, metrics.changed()).await;
     }
 
-    /// Expires lapsed entries every `every`, as the leader, and keeps the log's clock, for as long as the
-    /// node lives.
+    /// The term in which this node leads, if it knows that no other does and has applied an entry of it: it may then
+    /// answer renewals and end what was not renewed.
+    ///
+    /// # Errors
+    /// `NotLeader` where it does not lead, or does not know yet or any more; `Failed` where the node has.
+    fn leading_term(&self) -> Result<u64, ProposeError> {
+        if let Some(why) = self.failed() {
+            return Err(ProposeError::Failed(why));
+        }
+        if !self.leads() {
+            return Err(ProposeError::NotLeader(self.leader().filter(|leader| *leader != self.id)));
+        }
+        let (term, applied) = {
+            let metrics = self.raft.metrics();
+            let metrics = metrics.borrow();
+            (metrics.current_term, metrics.last_applied.map(|log| log.leader_id.term))
+        };
+        let members: Vec<NodeId> = self.members().into_iter().collect();
+        let alone = self.quorum_lease.holds(self.id, term, &members, self.election, Instant::now());
+        match applied == Some(term) && alone {
+            true => Ok(term),
+            false => Err(ProposeError::NotLeader(None)),
+        }
+    }
+
+    /// The log's time, once this node may hear renewals.
+    ///
+    /// # Errors
+    /// As [`Node::leading_term`]; `NotLeader` too while what an older build wrote runs out by itself.
+    fn hears_renewals(&self) -> Result<u64, ProposeError> {
+        let term = match self.leading_term() {
+            Ok(term) => term,
+            Err(why) => {
+                // Whatever could not be heard meanwhile has its whole TTL once this node leads again.
+                self.liveness.borrow_mut().follow();
+                return Err(why);
+            }
+        };
+        if !self.shared.store().lapses_by_command() {
+            return Err(ProposeError::NotLeader(None));
+        }
+        let now = self.now();
+        self.liveness.borrow_mut().lead(term, now);
+        Ok(now)
+    }
+
+    /// Renews what a call names, in memory.
+    ///
+    /// # Errors
+    /// As [`Node::leading_term`]; nothing is renewed then.
+    pub fn renew(&self, renewals: &Renewals) -> Result<Renewed, ProposeError> {
+        let now = self.hears_renewals()?;
+        let store = self.shared.store();
+        let lost = self.liveness.borrow_mut().renew(renewals, &store, now);
+        let (agreed, list) = (store.agreement().changed(), store.list_revision());
+        Ok(Renewed { revision: store.revision(), agreed, list, lost })
+    }
+
+    /// What is known of a session: what its proxy said last, and how long it has left without a further renewal, in
+    /// milliseconds, as far as this node hears renewals.
+    pub fn session_state(&self, id: u64, session: &Session, now_ms: u64) -> (Renewal, Option<u64>) {
+        let liveness = self.liveness.borrow();
+        let runs_out = Some(liveness.session_runs_out(id, session)).filter(|at| *at < u64::MAX);
+        let said = liveness.said(id).unwrap_or(session.said);
+        (said, runs_out.map(|at| at.saturating_sub(now_ms)))
+    }
+
+    /// The log's time, as far as this node knows it.
+    pub fn log_time(&self) -> u64 {
+        self.now()
+    }
+
+    /// Ends the grant of lease `name` that another than `holder` held until it ran out, so that the lease may be granted.
+    ///
+    /// # Errors
+    /// `Held` where it has not run out; as [`Node::propose`] else.
+    async fn end_former_grant(&self, name: &str, holder: &str, within: Duration) -> Result<(), ProposeError> {
+        let Some(grant) = self.shared.store().lease(name).filter(|grant| grant.holder != holder).cloned()
+        else {
+            return Ok(());
+        };
+        let now = self.hears_renewals()?;
+        let id = GrantId { name: name.to_string(), token: grant.token };
+        let expires_at_ms = self.liveness.borrow().grant_runs_out(&id, &grant);
+        if now < expires_at_ms {
+            let (name, holder, token) = (id.name, grant.holder, grant.token);
+            return Err(StoreError::Held { name, holder, token, expires_at_ms }.into());
+        }
+        let lapsed = Lapsed { grants: vec![id], ..Lapsed::default() };
+        self.commit(Command::Lapse { lapsed, at_ms: now }, within).await.map(drop)
+    }
+
+    /// Ends what has run out, every `every` and as the leader, and keeps the log's clock, for as long as the node
+    /// lives.
     pub async fn expire_every(&self, every: Duration) {
         let mut tick = tokio::time::interval(every);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tick.tick().await;
-            let now = self.now();
-            let (due, lapsed) = {
-                let store = self.shared.store();
-                (self.leads() && store.due(now), store.lapsed(now).len())
+            self.now();
+            let Some(command) = self.due() else { continue };
+            let ended = match &command {
+                Command::Lapse { lapsed, .. } => lapsed.instances.len() as u64,
+                _ => 0,
             };
-            // An expiry that is not committed is made again at the next tick.
-            if due && self.propose(Command::Expire { at_ms: 0 }, every.max(ROUND)).await.is_ok() {
-                self.expired.set(self.expired.get() + lapsed as u64);
+            // One that is not committed is made again at the next tick.
+            if self.propose(command, every.max(ROUND)).await.is_ok() {
+                self.expired.set(self.expired.get() + ended);
+                self.liveness.borrow_mut().forget_ended(&self.shared.store());
             }
         }
     }
+
+    /// What the leader has to write now that time has passed.
+    fn due(&self) -> Option<Command> {
+        let now = match self.hears_renewals() {
+            Ok(now) => now,
+            Err(_) if self.leading_term().is_ok() => return Some(Command::LapseByCommand),
+            Err(_) => return None,
+        };
+        let store = self.shared.store();
+        let lapsed = self.liveness.borrow().lapsed(&store, now);
+        if !lapsed.is_empty() {
+            return Some(Command::Lapse { lapsed, at_ms: now });
+        }
+        store.membership_is_due(now).then_some(Command::Expire { at_ms: now })
+    }
 }
--- a/src/registry/raft/mod.rs
+++ b/src/registry/raft/mod.rs
@@ -1,9 +1,11 @@
 //! The list service's replication: the `openraft` crate's types as this service uses them, its log on disk
-//! (`log`), the state machine that the log is applied to (`machine`) and the calls between nodes (`network`).
+//! (`log`), the state machine that the log is applied to (`machine`), the calls between nodes (`network`) and what a leader
+//! knows of its own leadership (`quorum_lease`).
 
 pub mod log;
 pub mod machine;
 pub mod network;
+pub mod quorum_lease;
 
 use super::store::{Command, StoreError};
 use crate::agreement::state::Done;
--- a/src/registry/raft/network.rs
+++ b/src/registry/raft/network.rs
@@ -2,6 +2,7 @@
 //! serves the API. A connection to a peer is kept from call to call and made anew after any failure, so that a
 //! connection that a fault has silenced costs one time-out.
 
+use super::quorum_lease::QuorumLease;
 use super::{NodeId, Raft, TypeConfig};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,7 +21,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -114,13 +115,20 @@
     pub peers: Arc<BTreeMap<NodeId, SocketAddr>>,
     /// This node.
     pub node: NodeId,
+    /// Told of the calls that others take of this node as the leader.
+    pub quorum_lease: QuorumLease,
 }
 
 impl RaftNetworkFactory<TypeConfig> for Network {
     type Network = Client;
 
     async fn new_client(&mut self, target: NodeId, _: &EmptyNode) -> Client {
-        Client { node: self.node, target, peer: self.peers.get(&target).copied().map(Peer::new) }
+        Client {
+            node: self.node,
+            target,
+            peer: self.peers.get(&target).copied().map(Peer::new),
+            quorum_lease: self.quorum_lease.clone(),
+        }
     }
 }
 
@@ -130,6 +138,7 @@
     target: NodeId,
     /// None where the configuration does not name the node.
     peer: Option<Peer>,
+    quorum_lease: QuorumLease,
 }
 
 type Failed<E> = RPCError<NodeId, EmptyNode, RaftError<NodeId, E>>;
@@ -173,7 +182,12 @@
         request: AppendEntriesRequest<TypeConfig>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<NodeId>, Failed<openraft::error::Infallible>> {
-        self.rpc(RPCTypes::AppendEntries, "/raft/append", &request, &option).await
+        let (term, sent) = (request.vote.leader_id().term, Instant::now());
+        let answer = self.rpc(RPCTypes::AppendEntries, "/raft/append", &request, &option).await?;
+        if !matches!(answer, AppendEntriesResponse::HigherVote(_)) {
+            self.quorum_lease.acknowledge(self.target, term, sent);
+        }
+        Ok(answer)
     }
 
     async fn install_snapshot(
--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -9,6 +9,11 @@
 //!
 //! Time: `at_ms` in commands is the log's clock (`clock`) as the leader read it, in milliseconds, made monotonic
 //! by [`Store::stamp`]: a command stamped below one applied before counts as stamped with that one's time.
+//!
+//! What is kept alive by its renewals (backends, leases, sessions) is renewed in the leader's memory (`liveness`) and
+//! leaves the store by `Lapse` alone, so that a fleet at rest writes nothing. The store says so of itself behind
+//! `LapseByCommand`, which the first leader of this build writes; what a log holds before that is applied as the build
+//! that wrote it did. A node of such a build does not know the command, and stops where it reads it.
 
 use crate::agreement::state::{self, AgreeError, Agreement, Done};
 use serde::{Deserialize, Serialize};
@@ -106,11 +111,21 @@
         /// Its id.
         instance_id: String,
     },
-    /// Takes off every backend whose TTL has run out by then.
+    /// Takes off every backend whose TTL has run out by then, in the part of a log that was written before
+    /// `LapseByCommand`; cuts the membership anew.
     Expire {
         /// The leader's time.
         at_ms: u64,
     },
+    /// From here on the leader keeps renewals in memory (`liveness`), and nothing runs out but by `Lapse`.
+    LapseByCommand,
+    /// Ends what the leader has found to have run out; what has ended already is passed over.
+    Lapse {
+        /// What.
+        lapsed: Lapsed,
+        /// The leader's time.
+        at_ms: u64,
+    },
     /// Grants the lease `name` to `holder` for `ttl_ms` from now, if nobody else holds it unexpired. Each
     /// grant's fencing token is the revision that it makes, so tokens only grow; a holder that asks again
     /// while it holds gets a new grant, and its old token is void. Renewals go by `KeepAlive`.
@@ -162,6 +177,33 @@
     },
 }
 
+/// A grant of a lease, by its name and token.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// The duty's name.
+    pub name: String,
+    /// The token of the grant.
+    pub token: u64,
+}
+
+/// What has run out at one time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapsed {
+    /// Backends, by id.
+    pub instances: Vec<String>,
+    /// Grants of leases.
+    pub grants: Vec<GrantId>,
+    /// Sessions, by number.
+    pub sessions: Vec<u64>,
+}
+
+impl Lapsed {
+    /// Whether it names nothing.
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty() && self.grants.is_empty() && self.sessions.is_empty()
+    }
+}
+
 /// Why a command was not applied. Nothing changes when one is returned.
 #[derive(Clone, Debug, PartialEq, Error, Serialize, Deserialize)]
 pub enum StoreError {
@@ -222,7 +264,23 @@
     pub expires_at_ms: u64,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// For how long something stays unless it is renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Term {
+    /// Its TTL in milliseconds.
+    pub ttl_ms: u64,
+    /// When it runs out as the log has it, on the log's clock: a TTL after it was made.
+    pub until_ms: u64,
+}
+
+impl Grant {
+    /// For how long it stays unless it is renewed.
+    pub fn term(&self) -> Term {
+        Term { ttl_ms: self.ttl_ms, until_ms: self.expires_at_ms }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Listed {
     instance: Instance,
     ttl_ms: u64,
@@ -255,10 +313,12 @@
     list_revision: u64,
     #[serde(default)]
     agreement: Agreement,
+    #[serde(default)]
+    lapse_by_command: bool,
 }
 
 /// The list and its revision. One owner: the node that applies the log.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Store {
     revision: u64,
     listed: BTreeMap<String, Listed>,
@@ -276,6 +336,8 @@
     list_revision: u64,
     /// Sessions, membership and settings.
     agreement: Agreement,
+    /// Nothing runs out but by `Lapse`.
+    lapse_by_command: bool,
 }
 
 impl Default for Store {
@@ -288,6 +350,7 @@
             nodes: BTreeMap::new(),
             list_revision: 0,
             agreement: Agreement::default(),
+            lapse_by_command: false,
         })
     }
 }
@@ -324,14 +387,34 @@
             nodes: self.nodes.clone(),
             list_revision: self.list_revision,
             agreement: self.agreement.clone(),
+            lapse_by_command: self.lapse_by_command,
         }
     }
 
     /// A store as a snapshot left it.
     pub fn restore(snapshot: Snapshot) -> Self {
-        let Snapshot { revision, listed, clock_ms, leases, nodes, list_revision, agreement } = snapshot;
-        let (bytes, changes) = (listed.values().map(|l| size(&l.instance)).sum(), VecDeque::new());
-        Self { revision, listed, bytes, changes, clock_ms, leases, nodes, list_revision, agreement }
+        let Snapshot {
+            revision,
+            listed,
+            clock_ms,
+            leases,
+            nodes,
+            list_revision,
+            agreement,
+            lapse_by_command,
+        } = snapshot;
+        Self {
+            revision,
+            bytes: listed.values().map(|l| size(&l.instance)).sum(),
+            listed,
+            changes: VecDeque::new(),
+            clock_ms,
+            leases,
+            nodes,
+            list_revision,
+            agreement,
+            lapse_by_command,
+        }
     }
 
     /// The revision of the list's latest change.
@@ -344,16 +427,35 @@
         &self.agreement
     }
 
-    /// Whether an expiry at `at_ms` would change anything.
-    pub fn due(&self, at_ms: u64) -> bool {
-        let at = self.stamp(at_ms);
-        self.agreement.due(at) || self.listed.values().any(|l| l.expires_at_ms <= at)
+    /// Whether nothing runs out but by `Lapse`.
+    pub fn lapses_by_command(&self) -> bool {
+        self.lapse_by_command
     }
 
-    /// The ids whose TTL has run out by `at_ms`, in order: what an expiry then takes off.
-    pub fn lapsed(&self, at_ms: u64) -> Vec<String> {
-        let at = self.stamp(at_ms);
-        self.listed.iter().filter(|(_, l)| l.expires_at_ms <= at).map(|(id, _)| id.clone()).collect()
+    /// Whether the membership is to be cut anew.
+    pub fn membership_is_due(&self, at_ms: u64) -> bool {
+        self.agreement.due(self.stamp(at_ms))
+    }
+
+    /// Every listed backend with its term.
+    pub fn instance_terms(&self) -> impl Iterator<Item = (&str, Term)> {
+        self.listed.iter().map(|(id, l)| (id.as_str(), Term { ttl_ms: l.ttl_ms, until_ms: l.expires_at_ms }))
+    }
+
+    /// The term of a listed backend.
+    pub fn instance_term(&self, instance_id: &str) -> Option<Term> {
+        self.listed.get(instance_id).map(|l| Term { ttl_ms: l.ttl_ms, until_ms: l.expires_at_ms })
+    }
+
+    /// Every grant of a lease.
+    pub fn grants(&self) -> impl Iterator<Item = (&str, &Grant)> {
+        self.leases.iter().map(|(name, grant)| (name.as_str(), grant))
+    }
+
+    /// The ids whose TTL has run out by `at_ms` by the log alone, in order.
+    fn run_out(&self, at_ms: u64) -> Vec<String> {
+        let out = |l: &Listed| !self.lapse_by_command && l.expires_at_ms <= at_ms;
+        self.listed.iter().filter(|(_, l)| out(l)).map(|(id, _)| id.clone()).collect()
     }
 
     /// The incarnation of the log by which `node` takes part, if it does.
@@ -454,7 +556,9 @@
                 check_name("holder", holder, 1)?;
                 let at = self.stamp(*at_ms);
                 match self.leases.get_mut(name) {
-                    Some(grant) if grant.expires_at_ms > at && grant.holder != *holder => {
+                    Some(grant)
+                        if (self.lapse_by_command || grant.expires_at_ms > at) && grant.holder != *holder =>
+                    {
                         return Err(StoreError::Held {
                             name: name.clone(),
                             holder: grant.holder.clone(),
@@ -483,7 +587,9 @@
             Command::KeepAlive { name, token, at_ms } => {
                 let at = self.stamp(*at_ms);
                 match self.leases.get_mut(name) {
-                    Some(grant) if grant.token == *token && grant.expires_at_ms > at => {
+                    Some(grant)
+                        if grant.token == *token && (self.lapse_by_command || grant.expires_at_ms > at) =>
+                    {
                         grant.expires_at_ms = grant.expires_at_ms.max(at + grant.ttl_ms);
                     }
                     _ => return Err(StoreError::Lost(name.clone())),
@@ -505,11 +611,27 @@
             Command::Forget { node } => drop(self.nodes.remove(node)),
             Command::Expire { at_ms } => {
                 let at = self.time(*at_ms);
-                for id in self.lapsed(at) {
+                for id in self.run_out(at) {
                     self.take_off(&id);
                 }
                 self.agreement.tick(at, &mut self.revision);
             }
+            Command::LapseByCommand => {
+                self.lapse_by_command = true;
+                self.agreement.lapse_by_command();
+            }
+            Command::Lapse { lapsed, at_ms } => {
+                let at = self.time(*at_ms);
+                for id in &lapsed.instances {
+                    self.take_off(id);
+                }
+                for GrantId { name, token } in &lapsed.grants {
+                    if self.leases.get(name).is_some_and(|grant| grant.token == *token) {
+                        self.leases.remove(name);
+                    }
+                }
+                self.agreement.lapse(&lapsed.sessions, at, &mut self.revision);
+            }
         }
         Ok(Done::Nothing)
     }
--- /dev/null
+++ b/tests/fleet/liveness.rs
@@ -0,0 +1,288 @@
+//! Renewals that the list service's leader keeps in memory, on three real nodes with faults between them: live backends
+//! stay listed whatever becomes of the leader, dead ones leave within the stated bound, and a fleet at rest writes
+//! nothing. `LIVENESS_ROUNDS` and `LIVENESS_ENTRIES` set how often and under how many heartbeats.
+
+use crate::harness;
+use crate::harness::cluster::Cluster;
+use crate::harness::registry::{self, registration};
+use crate::harness::relay::Fault;
+use fleetlab::calls::call_here;
+use fleetlab::rt::Loop;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const TTL: Duration = Duration::from_millis(2_000);
+const EVERY: Duration = Duration::from_millis(300);
+/// How long a machine waits for a node before it asks the next: with all three asked in turn well under the TTL.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// The longest election time-out of the harness's nodes.
+const ELECTION: Duration = Duration::from_millis(500);
+/// Longest time without a leader: two election time-outs, and as much again for a vote that was split.
+const WITHOUT_LEADER: Duration = Duration::from_millis(2_000);
+/// How often the leader ends what has run out.
+const TICK: Duration = Duration::from_millis(100);
+/// The time allowed for calls, on a busy machine too.
+const CALLS: Duration = Duration::from_millis(500);
+const WITHIN: Duration = Duration::from_secs(20);
+/// Backends renewed in one call.
+const TOGETHER: usize = 100;
+
+fn from_env(name: &str, default: usize) -> usize {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn id(n: usize) -> String {
+    format!("s-{n}")
+}
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + n as u16))
+}
+
+/// A node's whole list and its revision.
+fn revision_and_list(at: SocketAddr) -> Option<(u64, BTreeSet<String>)> {
+    let (status, list) = registry::call(at, "GET", "/api/targets", &Value::Null)?;
+    let name = |instance: &Value| instance["instanceId"].as_str().unwrap_or_default().to_string();
+    let names = list["instances"].as_array()?.iter().map(name).collect();
+    (status == 200).then_some((list["generation"].as_u64()?, names))
+}
+
+fn listed(at: SocketAddr) -> Option<BTreeSet<String>> {
+    revision_and_list(at).map(|(_, list)| list)
+}
+
+/// One call for all that a machine keeps alive; none where it is not answered in time.
+fn keep_alive(at: SocketAddr, body: Value) -> Option<(u16, Value)> {
+    let called = Loop::shared().wait(move || async move {
+        let call = call_here(at, "POST", "/v1/keepalive", &body);
+        tokio::time::timeout(PATIENCE, call).await.ok().flatten()
+    });
+    called.flatten()
+}
+
+/// What machines do to keep their backends listed: a call for each `TOGETHER` of them, every `EVERY`, at one node and at
+/// the next after a failure.
+struct Machines {
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<usize>>,
+    answered: Arc<AtomicUsize>,
+}
+
+impl Machines {
+    fn start(fronts: &[SocketAddr], backends: std::ops::Range<usize>) -> Self {
+        let (ended, answered) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let ids: Vec<String> = backends.map(id).collect();
+        let threads = ids.chunks(TOGETHER).enumerate().map(|(number, ids)| {
+            let body = json!({"instances": ids});
+            let (ended, answered, fronts) = (ended.clone(), answered.clone(), fronts.to_vec());
+            std::thread::spawn(move || {
+                let (mut node, mut lost) = (number, 0);
+                while !ended.load(Ordering::SeqCst) {
+                    let at = Instant::now();
+                    match keep_alive(fronts[node % fronts.len()], body.clone()) {
+                        Some((200, answer)) => {
+                            lost += answer["lost"]["instances"].as_array().map_or(0, Vec::len);
+                            answered.fetch_add(1, Ordering::SeqCst);
+                        }
+                        _ => node += 1,
+                    }
+                    std::thread::sleep(EVERY.saturating_sub(at.elapsed()));
+                }
+                lost
+            })
+        });
+        let threads = threads.collect();
+        Self { ended, threads, answered }
+    }
+
+    /// Stops them; how many backends they were told are not listed.
+    fn end(self) -> usize {
+        self.ended.store(true, Ordering::SeqCst);
+        self.threads.into_iter().map(|thread| thread.join().expect("it ends")).sum()
+    }
+}
+
+/// Watches the lists of all nodes for backends that are missing. An older list than one seen is passed over, as proxies
+/// do: a node that has just started has not applied all of its log yet.
+fn watch(
+    fronts: Vec<SocketAddr>,
+    all: BTreeSet<String>,
+    ended: Arc<AtomicBool>,
+) -> JoinHandle<BTreeSet<String>> {
+    std::thread::spawn(move || {
+        let (mut missing, mut latest) = (BTreeSet::new(), 0);
+        while !ended.load(Ordering::SeqCst) {
+            for (revision, list) in fronts.iter().filter_map(|at| revision_and_list(*at)) {
+                if revision >= latest {
+                    latest = revision;
+                    missing.extend(all.difference(&list).cloned());
+                }
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        missing
+    })
+}
+
+/// Faults of the leader, each lifted after a while.
+#[derive(Clone, Copy, Debug)]
+enum LeaderFault {
+    Killed,
+    Paused,
+    CannotSend,
+    CannotHear,
+}
+
+impl LeaderFault {
+    fn strike(self, cluster: &mut Cluster, leader: usize) {
+        let others = (0..cluster.size()).filter(|n| *n != leader);
+        match self {
+            Self::Killed => cluster.kill(leader),
+            Self::Paused => cluster.node(leader).expect("it runs").signal(Signal::SIGSTOP),
+            Self::CannotSend => others.for_each(|n| cluster.link(leader, n, Fault::BlackHole)),
+            Self::CannotHear => others.for_each(|n| cluster.link(n, leader, Fault::BlackHole)),
+        }
+    }
+
+    fn lift(self, fleet: &mut harness::process::Fleet, cluster: &mut Cluster, leader: usize) {
+        match self {
+            Self::Killed => cluster.start_node(fleet, leader, "").expect("it starts again"),
+            Self::Paused => cluster.node(leader).expect("it runs").signal(Signal::SIGCONT),
+            Self::CannotSend | Self::CannotHear => cluster.isolate(leader, Fault::Pass),
+        }
+    }
+}
+
+fn register_all(cluster: &Cluster, backends: std::ops::Range<usize>) {
+    for n in backends {
+        let body = registration(&id(n), address(n), TTL.as_millis() as u64);
+        let answer = registry::call(cluster.front(n % cluster.size()), "POST", "/v1/register", &body);
+        assert_eq!(answer.map(|(status, _)| status), Some(200), "{}", id(n));
+    }
+}
+
+#[test]
+fn live_backends_stay_listed_whatever_becomes_of_the_leader_and_dead_ones_leave_in_time() {
+    let (rounds, entries) = (from_env("LIVENESS_ROUNDS", 1), from_env("LIVENESS_ENTRIES", 300));
+    let mut fleet = harness::fleet(Duration::from_secs(60 + 60 * rounds as u64));
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    cluster.leader();
+    // The first leader beats from the beginning, as each chunk is listed.
+    let mut machines = Vec::new();
+    for from in (0..entries).step_by(TOGETHER) {
+        let chunk = from..(from + TOGETHER).min(entries);
+        register_all(&cluster, chunk.clone());
+        machines.push(Machines::start(&cluster.fronts(), chunk));
+    }
+    cluster.agreed(1, WITHIN);
+    let ended = Arc::new(AtomicBool::new(false));
+    let watching = watch(cluster.fronts(), (0..entries).map(id).collect(), ended.clone());
+
+    let faults = [LeaderFault::Killed, LeaderFault::Paused, LeaderFault::CannotSend, LeaderFault::CannotHear];
+    for fault in (0..rounds).flat_map(|_| faults) {
+        let leader = cluster.leader();
+        fault.strike(&mut cluster, leader);
+        // Past its bound, and with the next leader at work for a while.
+        std::thread::sleep(ELECTION + Duration::from_millis(1_000));
+        fault.lift(&mut fleet, &mut cluster, leader);
+        cluster.leader();
+        let before: usize = machines.iter().map(|m| m.answered.load(Ordering::SeqCst)).sum();
+        std::thread::sleep(TTL);
+        let after: usize = machines.iter().map(|m| m.answered.load(Ordering::SeqCst)).sum();
+        assert!(after > before, "{fault:?}: nothing is renewed any more");
+    }
+    ended.store(true, Ordering::SeqCst);
+    assert_eq!(watching.join().expect("it ends"), BTreeSet::new(), "live backends were not listed");
+
+    // The last machine dies with the leader: its backends leave within the bound, and no others.
+    let dead = machines.pop().expect("a machine").end();
+    let leader = cluster.leader();
+    cluster.kill(leader);
+    let died = Instant::now();
+    let bound = TTL + WITHOUT_LEADER + TTL + TICK + CALLS;
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    let alive: BTreeSet<String> = (0..(entries - 1) / TOGETHER * TOGETHER).map(id).collect();
+    while others.iter().any(|n| listed(cluster.front(*n)).is_none_or(|list| list != alive)) {
+        assert!(died.elapsed() < bound, "dead backends are listed past {bound:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let lost: usize = dead + machines.into_iter().map(Machines::end).sum::<usize>();
+    eprintln!("{entries} backends, {rounds} rounds of faults: dead ones left after {:?}", died.elapsed());
+    assert_eq!(lost, 0, "machines were told that their backends are not listed");
+    fleet.check_deadline();
+}
+
+/// Bytes of everything in a node's directory, and the bytes that its process has written to files.
+fn written(cluster: &mut Cluster, n: usize) -> (u64, u64) {
+    let dir: PathBuf = cluster.data_dir(n);
+    let files = std::fs::read_dir(dir).expect("its directory").flatten();
+    let bytes = files.filter_map(|file| file.metadata().ok()).map(|meta| meta.len()).sum();
+    let pid = cluster.node(n).and_then(|node| node.id()).expect("it runs");
+    let io = std::fs::read_to_string(format!("/proc/{pid}/io")).expect("what it has written");
+    let count = io.lines().find_map(|line| line.strip_prefix("write_bytes: ")).expect("a count");
+    (bytes, count.parse().expect("a number"))
+}
+
+#[test]
+fn a_fleet_at_rest_writes_nothing() {
+    const ENTRIES: usize = 200;
+    let mut fleet = harness::fleet(Duration::from_secs(60));
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    cluster.leader();
+    register_all(&cluster, 0..ENTRIES);
+    let machines = Machines::start(&cluster.fronts(), 0..ENTRIES);
+    cluster.agreed(1, WITHIN);
+    std::thread::sleep(TTL);
+    let before: Vec<_> = (0..3).map(|n| written(&mut cluster, n)).collect();
+    std::thread::sleep(2 * TTL);
+    let after: Vec<_> = (0..3).map(|n| written(&mut cluster, n)).collect();
+    assert_eq!(before, after, "bytes on disk and written, of each node");
+    assert_eq!(listed(cluster.front(0)).map(|list| list.len()), Some(ENTRIES));
+    assert_eq!(machines.end(), 0);
+    fleet.check_deadline();
+}
+
+/// Each kind of renewal through every node: those that do not lead pass them on.
+#[test]
+fn every_node_takes_every_kind_of_renewal_and_tells_what_is_lost() {
+    let mut fleet = harness::fleet(Duration::from_secs(60));
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    cluster.leader();
+    register_all(&cluster, 0..1);
+    let post = |n: usize, path: &str, body: Value| {
+        registry::call(cluster.front(n), "POST", path, &body).expect("it answers")
+    };
+    let (_, grant) = post(0, "/v1/lease/acquire", json!({"name": "d", "holder": "h", "ttlMs": 20_000}));
+    let token = grant["token"].as_u64().expect("a token");
+    let (_, session) = post(1, "/v1/session/open", json!({"name": "p", "ttlMs": 20_000}));
+    let session = session["session"].as_u64().expect("a session");
+    cluster.agreed(session, WITHIN);
+    for n in 0..3 {
+        assert_eq!(post(n, "/v1/heartbeat", json!({"instanceId": id(0)})).0, 200);
+        assert_eq!(post(n, "/v1/heartbeat", json!({"instanceId": "nobody"})).0, 404);
+        assert_eq!(post(n, "/v1/lease/keepalive", json!({"name": "d", "token": token})).0, 200);
+        assert_eq!(post(n, "/v1/lease/keepalive", json!({"name": "d", "token": token + 1})).0, 409);
+        let (status, answer) = post(n, "/v1/session/renew", json!({"session": session, "list": n}));
+        assert!(status == 200 && answer["agreed"].is_u64() && answer["list"].is_u64(), "{answer}");
+        assert_eq!(post(n, "/v1/session/renew", json!({"session": session + 1})).0, 409);
+        let together = json!({"instances": [id(0), "nobody"], "grants": [{"name": "d", "token": token + 1}],
+                              "sessions": [{"session": session}, {"session": session + 1}]});
+        let (status, answer) = post(n, "/v1/keepalive", together);
+        assert_eq!((status, &answer["lost"]["instances"]), (200, &json!(["nobody"])), "{answer}");
+        assert_eq!(answer["lost"]["grants"], json!([{"name": "d", "token": token + 1}]));
+        let lost = answer["lost"]["sessions"].as_object().expect("sessions that are lost");
+        assert!(lost.len() == 1 && lost.contains_key(&(session + 1).to_string()), "{answer}");
+        let (_, fleet) = registry::call(cluster.front(n), "GET", "/v1/fleet", &Value::Null).expect("answers");
+        assert_eq!(fleet["sessions"][0]["said"]["list"], json!(n), "as it said last, by every node's word");
+    }
+    assert_eq!(post(0, "/v1/keepalive", json!({"instances": vec![id(0); 257]})).0, 400);
+    assert_eq!(post(0, "/v1/keepalive", json!({"unknown": 1})).0, 400);
+    fleet.check_deadline();
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod hardening;
 mod harness;
 mod listing;
+mod liveness;
 mod replicated;
 
 use harness::backend::Backend;
