Show that a fleet's failed calls keep its list service from answering anyone

The proxies make 250 to 340 calls a second to a service that answers some 50; its queue is always full, whoever is in it has waited for 2 s or was given up after 1.5 s, and is worked off in vain. 300 balancers before a model of such a service show the same.

--- /dev/null
+++ b/tests/crowded_discovery.rs
@@ -0,0 +1,159 @@
+//! A fleet before a list service that must be asked, takes few calls a second and comes back after an outage: the
+//! calls of all proxies together must not keep it from answering any.
+//!
+//! The service is a model of one that works its calls off in turn: a call that has waited too long fails, one that
+//! finds too many before it is refused at once, and one that was given up by its caller is worked off all the same.
+
+mod common;
+
+use common::{entry, safe};
+use gannetproxy::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet, VecDeque};
+
+/// Proxies in all tiers together, and in each of them.
+const PROXIES: usize = 300;
+const PROXIES_OF_A_TIER: usize = 100;
+/// Calls that the service answers in a second.
+const CALLS_PER_SECOND: f64 = 50.0;
+/// Calls that may wait in turn, and for how long, in seconds.
+const QUEUE: usize = 100;
+const LONGEST_TURN: Time = 2.0;
+/// How long a call is on its way, in seconds.
+const WAY: Time = 0.03;
+/// The service is down for so long, in seconds.
+const OUTAGE: Time = 8.0;
+/// At best the service has answered all proxies after `PROXIES / CALLS_PER_SECOND` = 6 s: twice that is allowed.
+const ALL_TOLD: Time = 2.0 * PROXIES as f64 / CALLS_PER_SECOND;
+/// How long a proxy waits for the answer to a call, in seconds.
+const PATIENCE: Time = 1.5;
+
+/// What happens to a proxy, or in the service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Timer { proxy: usize, token: u64 },
+    Refused { proxy: usize, call: usize },
+    Served { call: usize },
+}
+
+/// A step and when it falls due, in microseconds; the number keeps those of one moment in order.
+type Due = Reverse<(u64, usize)>;
+
+fn micros(at: Time) -> u64 {
+    (at.max(0.0) * 1e6) as u64
+}
+
+struct Fleet {
+    now: Time,
+    balancers: Vec<Balancer>,
+    due: BinaryHeap<Due>,
+    steps: Vec<Step>,
+    /// The proxy of each call, and whether it still waits for the answer.
+    calls: Vec<(usize, bool)>,
+    /// The calls that wait in turn, and when they came.
+    queue: VecDeque<(usize, Time)>,
+    served_until: Time,
+    told: HashSet<usize>,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let settings = Settings { must_watch: true, instances: PROXIES_OF_A_TIER, ..safe() };
+        let balancer = |n| Balancer::new(0.0, n as u64, settings.clone());
+        let mut fleet = Self {
+            now: 0.0,
+            balancers: (0..PROXIES).map(balancer).collect(),
+            due: BinaryHeap::new(),
+            steps: Vec::new(),
+            calls: Vec::new(),
+            queue: VecDeque::new(),
+            served_until: OUTAGE,
+            told: HashSet::new(),
+        };
+        let list = [entry(1), entry(2), entry(3)];
+        for proxy in 0..PROXIES {
+            fleet.tell(proxy, Event::List(ListUpdate::Remembered(&list)));
+        }
+        fleet
+    }
+
+    fn plan(&mut self, at: Time, step: Step) {
+        self.due.push(Reverse((micros(at), self.steps.len())));
+        self.steps.push(step);
+    }
+
+    fn tell(&mut self, proxy: usize, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancers[proxy].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Timer { at, token } => self.plan(at, Step::Timer { proxy, token }),
+                Action::Watch => self.call(proxy),
+                _ => {}
+            }
+        }
+    }
+
+    /// A proxy calls the service.
+    fn call(&mut self, proxy: usize) {
+        let call = self.calls.len();
+        self.calls.push((proxy, true));
+        if self.queue.len() >= QUEUE {
+            return self.plan(self.now + WAY, Step::Refused { proxy, call });
+        }
+        self.queue.push_back((call, self.now));
+        self.plan(self.now + PATIENCE.min(LONGEST_TURN), Step::Refused { proxy, call });
+        if self.queue.len() == 1 {
+            self.work();
+        }
+    }
+
+    /// The service begins to work on the first call that waits.
+    fn work(&mut self) {
+        if let Some(&(call, _)) = self.queue.front() {
+            self.served_until = self.served_until.max(self.now) + 1.0 / CALLS_PER_SECOND;
+            self.plan(self.served_until, Step::Served { call });
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Timer { proxy, token } => self.tell(proxy, Event::Timer(token)),
+            Step::Refused { proxy, call } => {
+                if std::mem::take(&mut self.calls[call].1) {
+                    self.tell(proxy, Event::List(ListUpdate::Refused));
+                }
+            }
+            Step::Served { call } => {
+                let came = self.queue.pop_front().map_or(self.now, |(_, came)| came);
+                let (proxy, waits) = self.calls[call];
+                if waits && self.now - came <= LONGEST_TURN {
+                    self.calls[call].1 = false;
+                    // It is told of changes from now on without calling again.
+                    self.told.insert(proxy);
+                    self.tell(proxy, Event::List(ListUpdate::Changes(&[])));
+                }
+                self.work();
+            }
+        }
+    }
+
+    fn run_to(&mut self, until: Time) {
+        while let Some(&Reverse((at, number))) = self.due.peek()
+            && at <= micros(until)
+        {
+            self.due.pop();
+            self.now = self.now.max(at as f64 / 1e6);
+            self.step(self.steps[number]);
+        }
+        self.now = until;
+    }
+}
+
+#[test]
+fn a_list_service_that_comes_back_is_not_kept_down_by_the_calls_of_the_fleet() {
+    let mut fleet = Fleet::start();
+    fleet.run_to(OUTAGE + ALL_TOLD);
+    let (told, calls) = (fleet.told.len(), fleet.calls.len());
+    assert_eq!(told, PROXIES, "of {PROXIES} proxies {told} have been told, with {calls} calls");
+}
