Add a preload library to the lab, and show that interrupted calls lose requests

lab/shim is loaded into a process under test and changes its calls by rules: recv, peek, send, accept, connect, socket, epoll_wait, the wall clock, opening, writing and syncing of files. Its own test proves that a call that should fail does and others don't.

--- /dev/null
+++ b/lab/shim/src/rules.rs
@@ -0,0 +1,144 @@
+//! Rules: which operation fails how, how often and when.
+
+use std::str::FromStr;
+
+/// Most rules that are taken; more are ignored.
+pub const MAX_RULES: usize = 32;
+
+/// What a process asks of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Reading from a socket.
+    Recv,
+    /// Looking at what a socket has to read.
+    Peek,
+    /// Writing to a socket.
+    Send,
+    /// Accepting a connection.
+    Accept,
+    /// Connecting.
+    Connect,
+    /// Making a socket.
+    Socket,
+    /// Waiting for events.
+    Wait,
+    /// Reading the wall clock.
+    Clock,
+    /// Opening a file.
+    Open,
+    /// Writing to a regular file.
+    Write,
+    /// Making a regular file durable.
+    Sync,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It fails with this error number.
+    Fails(i32),
+    /// It moves fewer bytes than asked for.
+    Short,
+    /// The clock tells this many seconds more.
+    Shifted(i64),
+    /// Half of the bytes are written, then the process is killed.
+    Torn,
+}
+
+/// One rule.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rule {
+    /// Which calls.
+    pub operation: Operation,
+    /// What becomes of them.
+    pub outcome: Outcome,
+    /// The chance of a call to be changed, from 0 to 1.
+    pub probability: f64,
+    /// From when, in milliseconds since the epoch.
+    pub from_ms: u64,
+    /// Up to when.
+    pub to_ms: u64,
+}
+
+/// Error numbers by name.
+const ERRORS: [(&str, i32); 13] = [
+    ("EINTR", libc::EINTR),
+    ("ECONNABORTED", libc::ECONNABORTED),
+    ("EMFILE", libc::EMFILE),
+    ("ENFILE", libc::ENFILE),
+    ("ENOBUFS", libc::ENOBUFS),
+    ("ENOMEM", libc::ENOMEM),
+    ("EADDRNOTAVAIL", libc::EADDRNOTAVAIL),
+    ("ENETUNREACH", libc::ENETUNREACH),
+    ("EHOSTUNREACH", libc::EHOSTUNREACH),
+    ("ETIMEDOUT", libc::ETIMEDOUT),
+    ("ENOSPC", libc::ENOSPC),
+    ("EIO", libc::EIO),
+    ("EPROTO", libc::EPROTO),
+];
+
+impl FromStr for Operation {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        Ok(match text {
+            "recv" => Self::Recv,
+            "peek" => Self::Peek,
+            "send" => Self::Send,
+            "accept" => Self::Accept,
+            "connect" => Self::Connect,
+            "socket" => Self::Socket,
+            "wait" => Self::Wait,
+            "clock" => Self::Clock,
+            "open" => Self::Open,
+            "write" => Self::Write,
+            "sync" => Self::Sync,
+            _ => return Err(()),
+        })
+    }
+}
+
+impl FromStr for Outcome {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let error = ERRORS.iter().find(|(name, _)| *name == text);
+        match (text, error) {
+            (_, Some((_, number))) => Ok(Self::Fails(*number)),
+            ("short", _) => Ok(Self::Short),
+            ("torn", _) => Ok(Self::Torn),
+            _ => text.parse().map(Self::Shifted).map_err(|_| ()),
+        }
+    }
+}
+
+impl FromStr for Rule {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (operation, rest) = text.split_once('=').ok_or(())?;
+        let (outcome, rest) = rest.split_once('@').ok_or(())?;
+        let (probability, span) = rest.split_once(':').ok_or(())?;
+        let (from, to) = span.split_once('-').ok_or(())?;
+        Ok(Self {
+            operation: operation.parse()?,
+            outcome: outcome.parse()?,
+            probability: probability.parse().map_err(|_| ())?,
+            from_ms: from.parse().map_err(|_| ())?,
+            to_ms: to.parse().map_err(|_| ())?,
+        })
+    }
+}
+
+/// The rules of a text; those that are not understood are left out and counted.
+pub fn parse(text: &str) -> (Vec<Rule>, usize) {
+    let texts = text.split(';').map(str::trim).filter(|rule| !rule.is_empty());
+    let (mut rules, mut unknown) = (Vec::new(), 0);
+    for text in texts {
+        match text.parse() {
+            Ok(rule) if rules.len() < MAX_RULES => rules.push(rule),
+            _ => unknown += 1,
+        }
+    }
+    (rules, unknown)
+}
--- /dev/null
+++ b/lab/shim/tests/loads.rs
@@ -0,0 +1,68 @@
+//! The library is loaded into a child of this test, in which calls that should fail do, and others don't.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, SystemTime};
+
+/// Set in the child.
+const CHILD: &str = "FLEETLAB_SHIM_CHILD";
+const RULES: &str = "accept=ECONNABORTED@1:0-600000;recv=EINTR@0.5:0-600000;send=short@1:0-600000;\
+                     clock=-3600@1:0-600000;write=ENOSPC@1:0-600000;sync=EIO@1:0-600000;\
+                     socket=ENOBUFS@1:500000-600000";
+
+fn library() -> PathBuf {
+    let test = std::env::current_exe().expect("this test's path");
+    let folder = test.parent().expect("a folder");
+    let places = [folder.join("libfleetlab_shim.so"), folder.join("../libfleetlab_shim.so")];
+    places.into_iter().find(|path| path.exists()).expect("the library beside its test")
+}
+
+/// Not a test of its own: what the child does.
+#[test]
+#[ignore = "run as a child by calls_that_should_fail_do_and_others_do_not"]
+fn child() {
+    if std::env::var_os(CHILD).is_none() {
+        return;
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind is left alone");
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).expect("connect is left alone");
+    assert_eq!(listener.accept().unwrap_err().kind(), ErrorKind::ConnectionAborted);
+    assert_eq!(client.write(b"0123456789").unwrap(), 5, "half is written");
+    client.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+    let kinds: Vec<ErrorKind> = (0..50).map(|_| client.read(&mut [0]).unwrap_err().kind()).collect();
+    assert!(kinds.contains(&ErrorKind::Interrupted) && kinds.contains(&ErrorKind::WouldBlock), "{kinds:?}");
+    let path = std::env::temp_dir().join(format!("fleetlab-shim-{}", std::process::id()));
+    let mut file = std::fs::File::create(&path).expect("open is left alone");
+    assert_eq!(file.write(b"x").unwrap_err().kind(), ErrorKind::StorageFull);
+    assert!(file.sync_all().is_err());
+    std::fs::remove_file(&path).unwrap();
+    println!("unix {}", SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_secs());
+}
+
+#[test]
+fn calls_that_should_fail_do_and_others_do_not() {
+    let counts = std::env::temp_dir().join(format!("fleetlab-shim-counts-{}", std::process::id()));
+    let before = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_secs();
+    let child = Command::new(std::env::current_exe().unwrap())
+        .args(["--ignored", "--exact", "child", "--nocapture"])
+        .env(CHILD, "1")
+        .env("LD_PRELOAD", library())
+        .env("FLEETLAB_SHIM_RULES", RULES)
+        .env("FLEETLAB_SHIM_COUNTS", &counts)
+        .output()
+        .expect("the child runs");
+    let text = String::from_utf8_lossy(&child.stdout);
+    assert!(child.status.success(), "{text}{}", String::from_utf8_lossy(&child.stderr));
+    let unix =
+        text.lines().find_map(|l| l.split("unix ").nth(1)?.trim().parse::<u64>().ok()).expect("a time");
+    assert!(unix.abs_diff(before - 3600) < 60, "an hour behind: {unix} at {before}");
+    let counted = std::fs::read(&counts).unwrap();
+    std::fs::remove_file(&counts).unwrap();
+    let counted: Vec<u64> =
+        counted.chunks_exact(8).map(|piece| u64::from_le_bytes(piece.try_into().unwrap())).collect();
+    assert_eq!(counted[0], 1, "one accept: {counted:?}");
+    assert_eq!(counted[6], 0, "before its time: {counted:?}");
+    assert!(counted[..6].iter().all(|count| *count > 0), "{counted:?}");
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod run;
 pub mod scale;
 mod scratch;
+pub mod shim;
 pub mod spec;
 pub mod stage;
 pub mod usage;
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -50,6 +50,8 @@
     _watch: mpsc::Sender<()>,
     /// Where configuration files go.
     dir: PathBuf,
+    /// What the environment of processes started from now on holds besides.
+    environment: Vec<(String, String)>,
 }
 
 /// Why a process could not be started.
@@ -85,7 +87,14 @@
             }
         });
         let (program, dir) = (program.to_path_buf(), dir.to_path_buf());
-        Self { listed, program, started: 0, most: MOST_PROCESSES, _watch: watch, dir }
+        let environment = Vec::new();
+        Self { listed, program, started: 0, most: MOST_PROCESSES, _watch: watch, dir, environment }
+    }
+
+    /// Puts these variables, and no others that were set here before, into the environment of each process that is
+    /// started from now on.
+    pub fn set_environment(&mut self, environment: Vec<(String, String)>) {
+        self.environment = environment;
     }
 
     /// The same, for up to `most` processes over its life.
@@ -181,6 +190,9 @@
         for (name, value) in env {
             command.env(name, value);
         }
+        for (name, value) in &self.environment {
+            command.env(name, value);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(StartError::Spawn)?;
         self.listed.pids.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,8 +76,8 @@
 const AWAY_LOAD: f64 = 40.0;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
-/// A list that could not be had for so long, in seconds, may lack a drain that counts as told by now or before long:
-/// what discovery has counts as told 6 s after it can be reached.
+/// A list that could not be had for so long, in seconds, may lack a drain that counts as told by now or
+/// before long: what discovery has counts as told 6 s after it can be reached.
 const STALE_LIST: Time = 4.0;
 /// So many refusals in a row are a drain's; a backend that is merely full takes some requests in between.
 const REFUSALS_OF_A_DRAIN: u32 = 2;
@@ -780,8 +780,8 @@
         b.cold.room >= 1.0
     }
 
-    /// While no list can be had, a backend that refuses one attempt after another is taken to drain or to be gone:
-    /// a list would have told so, and nothing new may be sent to it.
+    /// While no list can be had, a backend that refuses one attempt after another is taken to drain or to be
+    /// gone: a list would have told so, and nothing new may be sent to it.
     fn may_drain(&self, backend: usize) -> bool {
         let unheard = self.list_calls.failing_for(self.now);
         unheard > STALE_LIST && self.backends[backend].refusals >= REFUSALS_OF_A_DRAIN
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod listing;
 mod liveness;
 mod replicated;
+mod system_calls;
 
 use harness::backend::Backend;
 use harness::client::{self, Final, Front, Kind, Load};
