Guard sends, closes and the process's end in one place, and tell why in logs and metrics

Need: nobody could tell why: eight lines of text, no id, no reason, no metric; and what must not happen was checked in four places, none of which counted.

Change: src/guard admits each attempt at the last moment before its first byte (drain, window, repeat, client gone, answered, passed deadline), and watches closes over requests and the process's end; what it prevents and what is broken all the same is counted, told, and ends the process under LINKHATCH_STRICT. src/observe has JSON lines by request id and an OpenMetrics listener, both off by default, with typed reasons. Refusals carry theirs from the decision on.

Tests: tests/guard.rs, tests/fleet/telling.rs. CPU with both off: not measured yet.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,7 @@
 //! What the balancer is told and what it asks for: settings, ids, events, actions. No logic.
 
+use crate::observe::reason::Refusal;
+
 /// A point in time, or a span of it, in seconds. The origin is the caller's.
 pub type Time = f64;
 
@@ -7,6 +9,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
+impl std::fmt::Display for RequestId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A backend: a server that requests can be sent to. Keeps its id over restarts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BackendId(pub u32);
@@ -273,7 +281,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prometheus_client::encoding::EncodeLabelValue)]
 pub enum Outcome {
     /// Answered.
     Served,
@@ -369,6 +377,8 @@
         id: RequestId,
         /// How long to stay away, if said.
         retry_after: Option<Time>,
+        /// Why.
+        reason: Refusal,
     },
     /// Final answer: failed; it may have had its effect.
     Fail {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,12 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod guard;
 mod interface;
 pub mod lease;
 pub mod list_calls;
 mod logic;
+pub mod observe;
 pub mod proxy;
 pub mod registry;
 pub mod sockets;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 
 use crate::interface::*;
 use crate::list_calls::ListCalls;
+use crate::observe::reason::Refusal;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slotmap::{DefaultKey as Slot, Key, KeyData, SlotMap};
@@ -421,8 +422,14 @@
         let t1 = self.t1(request.class, size, patience);
         let ahead = lane.and_then(|key| self.lanes.get(&key)).map_or(0, |lane| lane.queue.len());
         let needed = HOPELESS * self.normal[request.class].mean * (size + ahead as f64);
-        if patience <= needed || !self.admits(request.class, over) {
-            return actions.push(Action::Refuse { id: request.id, retry_after: self.come_back(t1) });
+        let reason = if patience <= needed {
+            Some(Refusal::NoTime)
+        } else {
+            (!self.admits(request.class, over)).then_some(Refusal::Pressure)
+        };
+        if let Some(reason) = reason {
+            let retry_after = self.come_back(t1);
+            return actions.push(Action::Refuse { id: request.id, retry_after, reason });
         }
         if let Some((_, left)) = request.tenant.and_then(|t| self.shares.get_mut(t)) {
             left.room = (left.room - 1.0).max(0.0);
@@ -875,7 +882,7 @@
         };
         let id = call.id;
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: self.come_back(call.t1) },
+            true => Action::Refuse { id, retry_after: self.come_back(call.t1), reason: Refusal::Unserved },
             false => Action::Fail { id },
         });
         self.finish(slot, None, actions);
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand};
 use gannetproxy::agreement::commands;
 use gannetproxy::lease::holder::{self, HolderConfig};
+use gannetproxy::observe::{self, metrics};
 use gannetproxy::proxy::agreed;
 use gannetproxy::proxy::config::Config;
 use gannetproxy::proxy::discovery::Discovery;
@@ -56,6 +57,10 @@
     if agreement.is_some() {
         init_logs();
     }
+    let metrics = match std::env::var(observe::METRICS) {
+        Ok(address) => Some(tokio::net::TcpListener::bind(&address).await?),
+        Err(_) => None,
+    };
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let listener = server::bind(config.listen)?;
@@ -78,6 +83,10 @@
         let parts = (engine, server.clone(), discovery.clone());
         agreed::start(agreement, nodes, config.seed, config.wire, parts)
     });
+    if let Some(listener) = metrics {
+        let telling = server.clone();
+        tokio::task::spawn_local(metrics::serve(listener, move || telling.standing()));
+    }
     let moving = following.clone();
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
@@ -204,6 +213,13 @@
             return ExitCode::FAILURE;
         }
     };
+    // Where the agreement is followed, that has a log of its own.
+    if config.agreement.is_none()
+        && let Err(error) = observe::start_log()
+    {
+        eprintln!("dewpier: {error}");
+        return ExitCode::FAILURE;
+    }
     on_this_thread(run(config))
 }
 
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -2,6 +2,9 @@
 
 use super::stream::{Stream, Unread};
 use super::types::{Clock, Payload};
+use crate::guard::{Attempt, Permit as Leave, Promise};
+use crate::observe::metrics::{self, Count};
+use crate::observe::reason;
 use crate::sockets;
 use crate::{Outcome, Time};
 use bytes::Bytes;
@@ -92,6 +95,35 @@
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
+    /// Sends an attempt that was admitted and waits for the head of the answer; tells the guard when it was written.
+    async fn send_admitted(
+        &mut self,
+        payload: &Payload,
+        leave: Leave,
+        clock: &Clock,
+    ) -> Option<Result<Response<Incoming>, Sent>> {
+        let mut sent = pin!(self.sender.try_send_request(payload.request(leave.remaining())));
+        let mut leave = Some(leave);
+        let mut is_queued = false;
+        let sending = std::future::poll_fn(|cx| {
+            let answer = sent.as_mut().poll(cx);
+            if let Poll::Ready(Err(error)) = &answer
+                && error.message().is_some()
+            {
+                leave
+                    .take()
+                    .into_iter()
+                    .for_each(|leave| payload.guard.not_written(&payload.history, &leave));
+            } else if is_queued && let Some(leave) = leave.take() {
+                // Queued by the last poll, it has been handed to the system by the connection's since.
+                payload.guard.written(clock.now(), &leave);
+            }
+            is_queued = true;
+            answer
+        });
+        self.io.drive(sending).await
+    }
+
     /// It, if it can carry another request, has not ended meanwhile and holds no bytes that would be taken for the
     /// answer to the next one. Waits for nothing, and asks the system, as the runtime may not have heard yet: an
     /// answer that has come must not be held up by its connection.
@@ -157,6 +189,11 @@
         self.open.get() >= self.most
     }
 
+    /// How many there are.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     fn take(self: &Rc<Self>) -> Option<Permit> {
         (!self.full()).then(|| {
             self.open.set(self.open.get() + 1);
@@ -219,8 +256,10 @@
     idle: RefCell<Vec<Idle>>,
     /// Connections that are being made for no attempt any more.
     late: RefCell<Vec<Making>>,
-    /// Set while it drains or is gone.
+    /// Set while it drains or is gone: when sends end,
     last_send: Cell<Option<Time>>,
+    /// and when the grace of that news does.
+    grace_ends: Cell<Option<Time>>,
     /// It is off the list.
     gone: Cell<bool>,
     /// Goes up when its connections are no longer to be kept.
@@ -239,6 +278,7 @@
             idle: RefCell::default(),
             late: RefCell::default(),
             last_send: Cell::new(None),
+            grace_ends: Cell::new(None),
             gone: Cell::new(false),
             epoch: Cell::new(0),
             budget,
@@ -256,6 +296,7 @@
         // Hearing of the same drain again doesn't extend the grace.
         let earlier = self.last_send.get().filter(|_| last_send.is_some());
         self.last_send.set(earlier.or(last_send));
+        self.grace_ends.set(self.grace_ends.get().filter(|_| last_send.is_some()));
         self.gone.set(false);
     }
 
@@ -277,6 +318,13 @@
         self.late.borrow_mut().clear();
     }
 
+    /// The grace of the news that it drains or is gone ends then; hearing it again does not extend it.
+    pub fn set_grace_end(&self, ends: Time) {
+        if self.last_send.get().is_some() {
+            self.grace_ends.set(self.grace_ends.get().or(Some(ends)));
+        }
+    }
+
     /// Starts to make a connection.
     fn make(&self, permit: Permit, until: Instant) -> Making {
         let address = self.address.get();
@@ -316,10 +364,6 @@
         }
     }
 
-    fn may_send(&self, clock: &Clock) -> bool {
-        self.last_send.get().is_none_or(|last| clock.now() < last)
-    }
-
     /// The idle connection used last of those on which no late answer may still come. `unsafe_to_repeat`: for a request that must
     /// not run twice.
     fn idle(&self, unsafe_to_repeat: bool) -> Option<Idle> {
@@ -462,6 +506,8 @@
     pub until: Time,
     /// It is not begun later than this.
     pub send_by: Option<Time>,
+    /// Its number among those of its request.
+    pub number: usize,
 }
 
 /// Makes one attempt. `written` is set as soon as any of the request may have gone out: from then
@@ -481,27 +527,42 @@
     clock: &Clock,
     written: &Cell<bool>,
     payload: &Payload,
-    Bounds { until, send_by }: Bounds,
+    Bounds { until, send_by, number }: Bounds,
 ) -> Done {
     let epoch = endpoint.epoch.get();
     let (mut upstream, permit, answer) = loop {
         let Some((mut upstream, permit)) =
             endpoint.connection(payload.unsafe_to_repeat, clock.at(until)).await
         else {
+            metrics::count(Count::Dropped(reason::Drop::NoConnection));
             return Done::without_answer(Outcome::NoConnection);
         };
-        // The request may have had its answer while the connection came up, its client have gone, or repeats be let run
-        // twice by now; the connection then serves another.
-        if payload.ended.get() || (payload.client_has_gone)() || send_by.is_some_and(|by| clock.now() >= by) {
-            endpoint.keep(upstream, permit, epoch, false);
-            return Done::without_answer(Outcome::NeverSent);
-        }
-        // The news of a drain may have come while the connection was made.
-        if !endpoint.may_send(clock) {
-            return Done::without_answer(Outcome::NoConnection);
-        }
+        // What held when the attempt was decided on may hold no more: its connection has taken time to come up.
+        let attempt = Attempt {
+            number,
+            history: &payload.history,
+            last_send: endpoint.last_send.get(),
+            grace_ends: endpoint.grace_ends.get(),
+            send_by,
+            until,
+            client_gone: (payload.client_has_gone)(),
+            answered: payload.ended.get(),
+        };
+        let leave = match payload.guard.admit(clock.now(), attempt) {
+            Ok(leave) => leave,
+            Err(promise) => {
+                metrics::count(Count::Dropped(reason::Drop::Guarded));
+                tracing::debug!(number, ?promise, "attempt not made");
+                if promise == Promise::Drain {
+                    return Done::without_answer(Outcome::NoConnection);
+                }
+                // The connection serves another.
+                endpoint.keep(upstream, permit, epoch, false);
+                return Done::without_answer(Outcome::NeverSent);
+            }
+        };
         written.set(true);
-        match upstream.send(payload.request(until - clock.now())).await {
+        match upstream.send_admitted(payload, leave, clock).await {
             Some(Ok(answer)) => break (upstream, permit, answer),
             // Handed back whole: the connection had ended before any of it was written.
             Some(Err(error)) if error.message().is_some() => written.set(false),
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -6,6 +6,8 @@
 use super::lists::{Lifecycle, RawEntry, RawList};
 use super::types::{Clock, Listed, News, WireSettings, zone_index};
 use crate::list_calls::turn_patience;
+use crate::observe::metrics::{self, Count};
+use crate::observe::reason::ListCall;
 use crate::{BackendId, Entry, Settings, Status, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -297,18 +299,23 @@
                 biased; // an answer that has come is taken in
                 answer = self.call(&path, wait + patience, &mut connection) => answer,
                 () = self.moved.notified() => {
+                    metrics::count(Count::ListCall(ListCall::Moved));
                     (connection, failures, unheard) = (None, 0, true);
                     continue;
                 }
             };
             let error = match answer {
                 Ok(list) => {
+                    metrics::count(Count::ListCall(ListCall::Answered));
+                    tracing::debug!(revision = list.generation, whole = list.reset, "list call answered");
                     (failures, unheard) = (0, false);
                     self.take(list);
                     continue;
                 }
                 Err(error) => error,
             };
+            metrics::count(Count::ListCall(ListCall::Failed));
+            tracing::info!(%error, failures, took = began.elapsed().as_secs_f64(), "list call failed");
             eprintln!("discovery: {error}");
             failures += 1;
             if self.several() {
@@ -332,6 +339,7 @@
     /// Takes in an answer; the last list is kept where there is none that makes sense.
     fn take(&self, list: RawList) {
         self.generation.set(list.generation);
+        metrics::list_revision(list.generation);
         if let Some(cache) = &self.cache {
             cache.borrow_mut().take(&list);
         }
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -4,6 +4,9 @@
 
 use super::backend::{self, Bounds, Budget, Done, Endpoint, Served};
 use super::types::{Clock, Listed, News, Payload, Stamp, WireSettings};
+use crate::guard::Guard;
+use crate::observe::metrics::{self, Count};
+use crate::observe::{self, reason};
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Place, Request, RequestId, Rules,
     Settings, Status, Time,
@@ -77,6 +80,7 @@
 }
 
 struct Open {
+    taken: Time,
     answer: oneshot::Sender<Answer>,
     payload: Rc<Payload>,
     until: Time,
@@ -85,6 +89,7 @@
 
 struct Running {
     backend: BackendId,
+    payload: Rc<Payload>,
     sent: Time,
     written: Rc<Cell<bool>>,
     task: AbortHandle,
@@ -150,6 +155,8 @@
     /// What goes on every attempt.
     stamp: RefCell<Option<Stamp>>,
     budget: Rc<Budget>,
+    /// What each attempt, close and end has to pass.
+    gate: Rc<Guard>,
     connect_timeout: Duration,
     idle_close: Duration,
     drain_grace: Time,
@@ -176,6 +183,7 @@
             guard: RefCell::default(),
             stamp: RefCell::default(),
             budget: Budget::new(connections),
+            gate: Rc::new(Guard::new(observe::is_strict())),
             connect_timeout: wire.connect_timeout,
             idle_close: wire.idle_close,
             drain_grace: wire.drain_grace.as_secs_f64(),
@@ -203,6 +211,16 @@
         &self.clock
     }
 
+    /// What each attempt, close and end has to pass.
+    pub fn guard(&self) -> &Rc<Guard> {
+        &self.gate
+    }
+
+    /// Requests without an answer, and open connections to backends.
+    pub fn standing(&self) -> (usize, usize) {
+        (self.state.borrow().open.len(), self.budget.open())
+    }
+
     /// Whom to ask for the list.
     pub fn set_discovery(&self, watch: impl Fn() + 'static) {
         *self.discovery.borrow_mut() = Some(Box::new(watch));
@@ -260,6 +278,8 @@
         let mut state = self.state();
         payload.stamp = self.stamp.borrow().clone();
         if state.open.len() >= self.max_open {
+            metrics::count(Count::Refused(reason::Refusal::OpenRequests));
+            tracing::debug!(id = %request.id, reason = ?reason::Refusal::OpenRequests, "refused");
             let _ = answer.send(Answer::Refused(None)); // the receiver is still here
             return Some(receiver);
         }
@@ -276,7 +296,7 @@
         let until = now + request.budget - 0.5 * answer_way;
         request.budget -= answer_way;
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { answer, payload, until, attempts: 0 });
+        state.open.insert(request.id, Open { taken: now, answer, payload, until, attempts: 0 });
         self.set_timer(&mut state, until, Due::Request(request.id));
         state.pending.push_back(Pending::Event(Event::Request(request)));
         self.decide(state);
@@ -338,6 +358,7 @@
                 let gone = |id: &BackendId| !ids.contains(id);
                 for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
                     endpoint.end(now + GRACE_USED * self.drain_grace);
+                    endpoint.set_grace_end(now + self.drain_grace);
                 }
                 list
             }
@@ -356,8 +377,10 @@
             if let (Status::Gone, Some(last_send)) = (entry.status, last_send) {
                 endpoint.end(last_send);
             }
+            endpoint.set_grace_end(now + self.drain_grace);
         }
         state.endpoints.retain(|_, endpoint| !endpoint.is_done());
+        tracing::debug!(entries = listed.len(), known = state.endpoints.len(), "list");
         // A list that discovery told is one to go by, though no backend may be in service.
         let told = matches!(&news, News::Full(_) | News::Changes(_));
         let serving = listed.iter().any(|l| l.entry.status == Status::InService);
@@ -379,9 +402,13 @@
             return; // ended otherwise before
         };
         running.task.abort();
+        metrics::count(Count::Outcome(done.outcome));
+        running.payload.history.ended(attempt, done.outcome);
+        tracing::debug!(%id, attempt, backend = running.backend.0, outcome = ?done.outcome, "attempt ended");
         if let Some(served) = done.served
             && let Some(open) = close(state, id)
         {
+            metrics::waited(self.clock.now() - open.taken);
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
         state.pending.push_back(Pending::Event(Event::Outcome(Ended {
@@ -440,8 +467,15 @@
                 let done = Done { outcome: Outcome::Cancelled, served: None };
                 self.ended(state, id, attempt, done);
             }
-            Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
-            Action::Fail { id } => answer(state, id, Answer::Failed),
+            Action::Refuse { id, retry_after, reason } => {
+                metrics::count(Count::Refused(reason));
+                tracing::debug!(%id, ?reason, "refused");
+                answer(state, id, Answer::Refused(retry_after));
+            }
+            Action::Fail { id } => {
+                tracing::debug!(%id, "failed");
+                answer(state, id, Answer::Failed);
+            }
             Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
             Action::Release(backend) => {
                 state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
@@ -464,6 +498,8 @@
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
         let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
+            metrics::count(Count::Dropped(reason::Drop::NoCall));
+            tracing::debug!(%id, attempt, backend = backend.0, reason = ?reason::Drop::NoCall, "attempt not made");
             return state.pending.push_back(Pending::Event(Event::Outcome(Ended {
                 id,
                 backend,
@@ -479,17 +515,21 @@
         }
         let attempt = open.attempts;
         open.attempts += 1;
+        let reason = if attempt == 0 { reason::Attempt::First } else { reason::Attempt::Retry };
+        metrics::count(Count::Attempted(reason));
+        tracing::debug!(%id, attempt, backend = backend.0, ?reason, timeout, "attempt");
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
         let (payload, clock) = (open.payload.clone(), self.clock);
-        let bounds = Bounds { until, send_by };
+        let owner = payload.clone();
+        let bounds = Bounds { until, send_by, number: attempt };
         let attempted = backend::attempt(endpoint, payload, clock, bounds, written.clone());
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
         });
         let task = task.abort_handle();
-        state.running.insert((id, attempt), Running { backend, sent: now, written, task });
+        state.running.insert((id, attempt), Running { backend, payload: owner, sent: now, written, task });
         self.set_timer(state, until, Due::Attempt(id, attempt));
     }
 
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -4,6 +4,9 @@
 use super::engine::{Answer, Engine};
 use super::stream::{Stream, Unread, Unsent};
 use super::types::{Payload, WireSettings};
+use crate::guard::History;
+use crate::observe::metrics::{self, Count, Standing};
+use crate::observe::reason::{Close, Refusal};
 use crate::sockets::{self, Failure, accept_failure};
 use crate::{Effect, Request, RequestId, Rules, Settings, Time};
 use bytes::{Bytes, BytesMut};
@@ -83,6 +86,8 @@
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     connections: Cell<usize>,
+    /// Connections accepted so far.
+    accepted: Cell<u64>,
     most: usize,
     closed: Notify,
     /// The connections with bytes of an answer that the system has not taken yet.
@@ -95,6 +100,8 @@
 /// A connection of a client, counted among those that may be open.
 struct ClientConnection {
     server: Rc<Server>,
+    /// Tells it from others in the log.
+    number: u64,
     /// Its key among the idle ones.
     idle_key: Cell<u64>,
     busy: Cell<bool>,
@@ -106,8 +113,12 @@
 impl ClientConnection {
     fn take(server: Rc<Server>) -> Self {
         server.connections.set(server.connections.get() + 1);
+        let number = server.accepted.get() + 1;
+        server.accepted.set(number);
+        tracing::debug!(connection = number, open = server.connections.get(), "accepted");
         let client = Self {
             server,
+            number,
             idle_key: Cell::default(),
             busy: Cell::default(),
             idle_since: Cell::new(Instant::now()),
@@ -148,6 +159,16 @@
         }
     }
 
+    /// It is closed now, by either side.
+    fn closes(&self, stream: &Stream, reason: Close) {
+        metrics::count(Count::Closed(reason));
+        tracing::debug!(connection = self.number, ?reason, in_hand = self.busy.get(), "closed");
+        if self.busy.get() {
+            let gone = stream.has_ended() || matches!(stream.unread(), Unread::End | Unread::Broken);
+            self.server.engine.guard().closes_over_request(gone);
+        }
+    }
+
     /// Lingering close: its descriptor counts until then, and it makes room like any that idles.
     async fn linger(&self, stream: Stream, evicted: bool) {
         self.idle();
@@ -167,17 +188,6 @@
     }
 }
 
-/// Why this side ends a client's connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ending {
-    /// The process is to end.
-    Stopping,
-    /// It makes room for another.
-    Evicted,
-    /// No request has come for too long.
-    Idle,
-}
-
 /// A client's connection once all that was answered has been written.
 enum Settled {
     /// It has ended.
@@ -276,6 +286,7 @@
             given_up_at: Cell::default(),
             closing: watch::Sender::new(false),
             connections: Cell::new(0),
+            accepted: Cell::new(0),
             most: connections,
             closed: Notify::new(),
             unsent: Unsent::default(),
@@ -321,6 +332,7 @@
         self.engine.answer_all_by(sent + answers);
         let patience = Duration::try_from_secs_f64(longest).unwrap_or_default() + KILL_AFTER;
         self.given_up_at.set(Some(sent + patience));
+        tracing::info!(answers_within = answers.as_secs_f64(), "told to stop");
         eprintln!("dewpier: told to stop");
         tokio::time::sleep_until(sent + MIN_DRAIN.max(answers / 2)).await;
     }
@@ -337,9 +349,22 @@
         let mut idle = 0;
         while self.connections.get() > 0 && idle < IDLE_STEPS {
             let _ = tokio::time::timeout(STEP, self.closed.notified()).await;
-            let busy = self.engine.owes_answers() || self.unsent.get() > 0;
-            idle = if busy && !self.clients_have_given_up() { 0 } else { idle + 1 };
+            let may_exit = self.engine.guard().may_exit(self.owes(), !self.clients_have_given_up());
+            idle = if may_exit { idle + 1 } else { 0 };
         }
+        self.engine.guard().exits(self.owes(), !self.clients_have_given_up());
+        tracing::info!(connections = self.connections.get(), "ends");
+    }
+
+    /// Requests have no answer yet, or one that the system has not taken.
+    fn owes(&self) -> bool {
+        self.engine.owes_answers() || self.unsent.get() > 0
+    }
+
+    /// How things stand, for the metrics.
+    pub fn standing(&self) -> Standing {
+        let (open_requests, upstream_connections) = self.engine.standing();
+        Standing { client_connections: self.connections.get(), upstream_connections, open_requests }
     }
 
     /// So long after SIGTERM that no client waits for an answer any more.
@@ -364,19 +389,20 @@
         let client = ClientConnection::take(self);
         tokio::task::spawn_local(async move {
             let stream = Stream::counted(stream, client.server.unsent.clone());
-            let evicted = client.server.converse(&client, &stream, full).await;
-            client.linger(stream, evicted).await;
+            let reason = client.server.converse(&client, &stream, full).await;
+            client.closes(&stream, reason);
+            client.linger(stream, reason == Close::Evicted).await;
         });
     }
 
-    /// Answers one request after another, up to the connection's end; tells whether it had to make room.
-    async fn converse(&self, client: &ClientConnection, stream: &Stream, full: bool) -> bool {
+    /// Answers one request after another, up to the connection's end; tells why it ends.
+    async fn converse(&self, client: &ClientConnection, stream: &Stream, full: bool) -> Close {
         let mut closing = self.closing.subscribe();
         let first_by = Cell::new(Some(Instant::now() + WHOLE_TIMEOUT));
         let service = service_fn(|request| async {
             let whole_by = first_by.take().unwrap_or_else(|| Instant::now() + WHOLE_TIMEOUT);
             client.busy();
-            let mut reply = self.reply(request, full, whole_by, stream).await?;
+            let mut reply = self.reply(request, full, whole_by, (client.number, stream)).await?;
             client.idle();
             if full {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -386,23 +412,23 @@
         let mut connection = http().serve_connection(TokioIo::new(stream.clone()), service);
         let ending = tokio::select! {
             biased; // a request that has come is read before the connection is closed
-            _ = &mut connection => return false, // its end is no news: clients come and go
-            _ = closing.wait_for(|closing| *closing) => Ending::Stopping,
-            () = client.evicted.notified() => Ending::Evicted,
-            () = client.idle_for(HEAD_TIMEOUT, stream) => Ending::Idle,
+            _ = &mut connection => return Close::Ended, // clients come and go
+            _ = closing.wait_for(|closing| *closing) => Close::Stopping,
+            () = client.evicted.notified() => Close::Evicted,
+            () = client.idle_for(HEAD_TIMEOUT, stream) => Close::Idle,
         };
-        let evicted = ending == Ending::Evicted;
+        let evicted = ending == Close::Evicted;
         let patience = if evicted { STEP } else { HEAD_TIMEOUT };
         let head_by = first_by.get().filter(|_| !evicted).unwrap_or_else(|| Instant::now() + patience);
-        if ending == Ending::Stopping {
+        if ending == Close::Stopping {
             // The first request on a new connection may be on its way.
             let begun = begin_by(&mut connection, head_by, || first_by.get().is_none()).await;
             if !begun {
-                return evicted;
+                return ending;
             }
         }
         match settle(&mut connection, client, stream).await {
-            Settled::Ended => return evicted,
+            Settled::Ended => return ending,
             Settled::Busy => {
                 Pin::new(&mut connection).graceful_shutdown();
                 serve_last(connection, client, stream, head_by).await;
@@ -418,7 +444,7 @@
                 }
             }
         }
-        evicted
+        ending
     }
 
     /// Closes the connection that has rested longest; tells whether there was one.
@@ -435,7 +461,7 @@
         request: hyper::Request<Incoming>,
         full: bool,
         whole_by: Instant,
-        stream: &Stream,
+        (connection, stream): (u64, &Stream),
     ) -> Result<Reply, ClientGone> {
         if request.uri().path() == "/-/ready" {
             return Ok(match self.engine.listed() && !self.draining.get() {
@@ -455,18 +481,23 @@
         };
         let budget = request.budget;
         if full {
+            metrics::count(Count::Refused(Refusal::Connections));
+            tracing::debug!(id = %request.id, reason = ?Refusal::Connections, "refused");
             return Ok(self.refusal("too many connections\n", None, budget));
         }
         let id = request.id;
+        tracing::debug!(%id, connection, class = request.class, budget, "taken");
         let headers = onward(head.headers);
-        let unsafe_to_repeat = self.settings.borrow().classes[request.class].effect == Effect::Unsafe;
+        let effect = self.settings.borrow().classes[request.class].effect;
         let ended = Cell::new(false);
         let payload = Payload {
             method: head.method,
             uri: head.uri,
             headers,
             body,
-            unsafe_to_repeat,
+            unsafe_to_repeat: effect == Effect::Unsafe,
+            history: History::new(effect),
+            guard: self.engine.guard().clone(),
             ended,
             client_has_gone: Box::new(stream.end_check()),
             stamp: None,
@@ -478,7 +509,10 @@
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            () = stream.closed_by_peer() => return Err(ClientGone),
+            () = stream.closed_by_peer() => {
+                tracing::debug!(%id, "the client has gone");
+                return Err(ClientGone);
+            }
         };
         drop(leaving); // it has had its answer: nothing is told
         Ok(match answer {
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -72,6 +72,11 @@
         self.0.put_back.replace(bytes);
     }
 
+    /// The peer's end has been read.
+    pub fn has_ended(&self) -> bool {
+        self.0.ended.get()
+    }
+
     /// Some of what was written has not been handed to the system yet.
     pub fn holds_unsent(&self) -> bool {
         self.0.counted.get()
--- a/src/proxy/types.rs
+++ b/src/proxy/types.rs
@@ -1,6 +1,7 @@
 //! What the proxy's parts share and none of them owns: its clock, a request on its way, the settings that sockets
 //! need, and news of the list. It stands below them all, so that they need not import each other.
 
+use crate::guard::{Guard, History};
 use crate::{Entry, Time};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -62,6 +63,10 @@
     pub body: Bytes,
     /// It must not run twice.
     pub unsafe_to_repeat: bool,
+    /// What became of its attempts.
+    pub history: History,
+    /// What each attempt has to pass.
+    pub guard: Rc<Guard>,
     /// It has had its final answer, or its client has left: nothing more of it may be sent.
     pub ended: Cell<bool>,
     /// Whether its client has gone, as the system knows it: the runtime may not have heard of that yet.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -427,10 +427,10 @@
             writeln!(out, "PLACE {:016x} {:.6} {}", id.0, timeout, backend.0)
         }
         Action::Cancel { id, attempt } => writeln!(out, "REVOKE {:016x} {attempt}", id.0),
-        Action::Refuse { id, retry_after: Some(wait) } => {
+        Action::Refuse { id, retry_after: Some(wait), .. } => {
             writeln!(out, "REJECT {:016x} {wait:.6}", id.0)
         }
-        Action::Refuse { id, retry_after: None } => writeln!(out, "REJECT {:016x} -", id.0),
+        Action::Refuse { id, retry_after: None, .. } => writeln!(out, "REJECT {:016x} -", id.0),
         Action::Fail { id } => writeln!(out, "ERROR {:016x}", id.0),
         Action::Timer { at, token } => writeln!(out, "SLEEP {at:.6} {token}"),
         Action::Release(backend) => writeln!(out, "RELEASE {}", backend.0),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use gannetproxy::observe::reason::Refusal;
 use gannetproxy::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -270,7 +271,10 @@
     let mut b = Bench::new(settings, &fleet(4));
     let (_, to) = sends(&b.request(1))[0];
     let actions = b.end(1, 0, to, Outcome::Error, 0.1);
-    assert_eq!(actions, [Action::Refuse { id: RequestId(1), retry_after: Some(0.3) }]);
+    assert_eq!(
+        actions,
+        [Action::Refuse { id: RequestId(1), retry_after: Some(0.3), reason: Refusal::Unserved }]
+    );
 }
 
 #[test]
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod liveness;
 mod replicated;
 mod system_calls;
+mod telling;
 
 use harness::backend::Backend;
 use harness::client::{self, Final, Front, Kind, Load};
--- /dev/null
+++ b/tests/fleet/telling.rs
@@ -0,0 +1,110 @@
+//! What a real process tells of itself: nothing unless it is asked to, then each request by its id, and metrics.
+
+use crate::harness;
+use crate::harness::backend::Backend;
+use crate::harness::discovery::{Discovery, Listing};
+use crate::harness::process::{Fleet, Process};
+use crate::ready;
+use fleetlab::http::{Conn, Message};
+use fleetlab::rt::Loop;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+const FLEET_DEADLINE: Duration = Duration::from_secs(30);
+const ID: &str = "00000000000000a1";
+
+/// A proxy before one backend that serves and one that nobody listens at.
+fn start(fleet: &mut Fleet, backend: &Backend) -> (Process, Discovery) {
+    let listing = Listing { id: "b-0".into(), address: backend.address(), ..Listing::default() };
+    let discovery = Discovery::start(vec![listing], 1).expect("discovery");
+    let config = harness::config(&harness::settings(0, 1, 0.4), &discovery.known(), 7);
+    let proxy = fleet.proxy(&config, discovery.agent(0)).expect("a proxy starts");
+    ready(&proxy);
+    (proxy, discovery)
+}
+
+fn ask(address: SocketAddr, text: String) -> Message {
+    let asked = Loop::shared().wait(move || async move {
+        let mut conn = Conn::new(TcpStream::connect(address).await.ok()?);
+        conn.write(text.as_bytes()).await.ok()?;
+        conn.read().await.ok()
+    });
+    asked.flatten().expect("an answer")
+}
+
+fn request(id: &str) -> String {
+    format!(
+        "GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: status-check\r\nX-Org: default\r\n\
+         X-Remaining-Ms: 1000\r\n\r\n"
+    )
+}
+
+/// The log's JSON lines, once one of them satisfies `last`.
+fn lines_until(proxy: &Process, last: impl Fn(&Value) -> bool) -> Vec<Value> {
+    let deadline = std::time::Instant::now() + Duration::from_secs(5);
+    let mut lines: Vec<Value> = Vec::new();
+    while !lines.iter().any(&last) {
+        assert!(std::time::Instant::now() < deadline, "{lines:#?}");
+        lines.extend(proxy.log_lines().iter().filter_map(|line| serde_json::from_str(line).ok()));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    lines
+}
+
+#[test]
+fn a_request_is_followed_by_its_id_through_all_that_becomes_of_it() {
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    fleet.set_environment(vec![("LINKHATCH_LOG".into(), "debug".into())]);
+    let backend = Backend::start("b-0", Duration::ZERO).expect("a backend");
+    let (proxy, _discovery) = start(&mut fleet, &backend);
+    assert_eq!(ask(proxy.address(), request(ID)).status(), 200);
+    let of_request = |line: &Value| line["id"] == ID;
+    let ended = |line: &Value| of_request(line) && line["message"] == "attempt ended";
+    let lines = lines_until(&proxy, ended);
+    let steps: Vec<&str> =
+        lines.iter().filter(|line| of_request(line)).filter_map(|line| line["message"].as_str()).collect();
+    assert_eq!(steps, ["taken", "attempt", "attempt ended"]);
+    let outcome = lines.iter().find(|line| ended(line)).map(|line| line["outcome"].clone());
+    assert_eq!(outcome, Some(Value::from("Served")));
+    let closed = |line: &Value| line["message"] == "closed";
+    let closes = lines_until(&proxy, closed);
+    assert!(closes.iter().filter(|line| closed(line)).all(|line| line["reason"].is_string()), "{closes:?}");
+}
+
+#[test]
+fn nothing_is_told_unless_it_is_asked_for() {
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    let backend = Backend::start("b-0", Duration::ZERO).expect("a backend");
+    let (proxy, _discovery) = start(&mut fleet, &backend);
+    assert_eq!(ask(proxy.address(), request(ID)).status(), 200);
+    let told: Vec<String> = proxy.log_lines().into_iter().filter(|line| line.starts_with('{')).collect();
+    assert_eq!(told, Vec::<String>::new());
+}
+
+#[test]
+fn metrics_count_attempts_and_their_outcomes_on_a_listener_of_their_own() {
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    let held = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let metrics = held.local_addr().expect("its address");
+    drop(held);
+    fleet.set_environment(vec![("LINKHATCH_METRICS".into(), metrics.to_string())]);
+    let backend = Backend::start("b-0", Duration::ZERO).expect("a backend");
+    let (proxy, _discovery) = start(&mut fleet, &backend);
+    for id in 1..=5 {
+        assert_eq!(ask(proxy.address(), request(&format!("{id:016x}"))).status(), 200);
+    }
+    let told = ask(metrics, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n".into());
+    assert_eq!(told.status(), 200);
+    let text = String::from_utf8_lossy(&told.body).into_owned();
+    for line in [
+        "linkhatch_attempts_total{reason=\"First\"} 5",
+        "linkhatch_attempt_outcomes_total{reason=\"Served\"} 5",
+        "linkhatch_wait_seconds_count 5",
+        "linkhatch_open_requests 0",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+    assert_eq!(ask(metrics, "GET /other HTTP/1.1\r\nHost: m\r\n\r\n".into()).status(), 404);
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -595,7 +595,7 @@
 }
 
 /// What bounds an attempt that nothing hurries.
-const BOUNDS: Bounds = Bounds { until: 20.0, send_by: None };
+const BOUNDS: Bounds = Bounds { until: 20.0, send_by: None, number: 0 };
 
 /// A request that may be sent `once`, or repeated.
 fn payload(once: bool) -> Payload {
@@ -605,6 +605,8 @@
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "body".into(),
         unsafe_to_repeat: once,
+        history: Default::default(),
+        guard: Default::default(),
         ended: Default::default(),
         client_has_gone: Box::new(|| false),
         stamp: None,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,7 @@
 
 mod common;
 use common::entry;
+use gannetproxy::observe::reason::Refusal;
 use gannetproxy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -393,7 +394,14 @@
     };
     let id = RequestId(1);
     let send = |to| Action::Send { id, backend: BackendId(to), timeout: 0.5, send_by: None };
-    assert_eq!(plant(0, &[(0.0, send(1)), (0.5, Action::Refuse { id, retry_after: None })]).len(), 0);
+    assert_eq!(
+        plant(
+            0,
+            &[(0.0, send(1)), (0.5, Action::Refuse { id, retry_after: None, reason: Refusal::Pressure })]
+        )
+        .len(),
+        0
+    );
     assert_eq!(plant(0, &[(0.0, send(1))]), ["1 lost"]);
     assert_eq!(plant(0, &[(1.5, Action::Fail { id })]), ["1 answered late"]);
     assert_eq!(plant(0, &[(0.1, Action::Fail { id }), (0.2, Action::Fail { id })]).len(), 1);
@@ -430,6 +438,7 @@
     check.used(1.3, 1);
     check.check_closed(1.5);
     assert_eq!(check.breaches[1], "drain: connections left open");
-    let refused = [(0.0, send(1)), (0.6, Action::Refuse { id, retry_after: None })];
+    let refused =
+        [(0.0, send(1)), (0.6, Action::Refuse { id, retry_after: None, reason: Refusal::Pressure })];
     assert!(plant(1, &refused)[0].contains("which may have run"));
 }
--- a/tests/scales.rs
+++ b/tests/scales.rs
@@ -25,6 +25,8 @@
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "".into(),
         unsafe_to_repeat,
+        history: Default::default(),
+        guard: Default::default(),
         ended: Default::default(),
         client_has_gone: Box::new(|| false),
         stamp: None,
@@ -97,7 +99,7 @@
             }
         };
         let sent = async |unsafe_to_repeat| {
-            let bounds = Bounds { until: 1000.0, send_by: None };
+            let bounds = Bounds { until: 1000.0, send_by: None, number: 0 };
             let payload = payload(unsafe_to_repeat).into();
             let done = attempt(endpoint.clone(), payload, Clock::start(), bounds, Default::default()).await;
             assert_eq!(done.outcome, Outcome::Served);
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -23,6 +23,8 @@
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
         body: "body".into(),
         unsafe_to_repeat: false,
+        history: Default::default(),
+        guard: Default::default(),
         ended: Default::default(),
         client_has_gone: Box::new(|| false),
         stamp: None,
@@ -34,7 +36,7 @@
 }
 
 async fn send(endpoint: &Rc<Endpoint>, clock: Clock, send_by: Option<f64>) -> Done {
-    let bounds = Bounds { until: 20.0, send_by };
+    let bounds = Bounds { until: 20.0, send_by, number: 0 };
     attempt(endpoint.clone(), payload(), clock, bounds, Default::default()).await
 }
 
@@ -183,7 +185,7 @@
 async fn a_request_that_ends_while_its_connection_comes_up_is_never_sent() {
     let (address, at) = named("it");
     let (endpoint, clock, payload) = (endpoint(address), Clock::start(), payload());
-    let bounds = Bounds { until: 20.0, send_by: None };
+    let bounds = Bounds { until: 20.0, send_by: None, number: 0 };
     let made = attempt(endpoint.clone(), payload.clone(), clock, bounds, Default::default());
     let mut made = Box::pin(made);
     begin(&mut made).await;
@@ -248,7 +250,7 @@
     let budget = Budget::new(1);
     let endpoint = Rc::new(Endpoint::new(address, budget.clone(), LONG, LONG));
     run(async {
-        let bounds = Bounds { until: 20.0, send_by: None };
+        let bounds = Bounds { until: 20.0, send_by: None, number: 0 };
         let made = attempt(endpoint.clone(), payload(), Clock::start(), bounds, Default::default());
         let mut made = Box::pin(made);
         begin(&mut made).await;
@@ -293,7 +295,7 @@
     run(async {
         let gone = Rc::into_inner(payload())
             .map(|payload| Payload { client_has_gone: Box::new(|| true), ..payload });
-        let bounds = Bounds { until: 20.0, send_by: None };
+        let bounds = Bounds { until: 20.0, send_by: None, number: 0 };
         let done =
             attempt(endpoint.clone(), Rc::new(gone.unwrap()), Clock::start(), bounds, Default::default());
         assert_eq!(done.await.outcome, Outcome::NeverSent);
