--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod descriptors;
+pub mod files;
 pub mod guard;
 mod interface;
 pub mod lease;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,7 @@
 const SKEW: f64 = 0.5;
 /// Calls out that would all be answered within this part of the shortest aim are no jam, however many they
 /// are beside the usual number: where answers take a millisecond, a stall of some lets in as many together.
-const HARMLESS_WAIT: f64 = 0.05;
+const HARMLESS_WAIT: f64 = 0.1;
 /// It narrows by this for each root of mean excess
 const NARROWING: f64 = 2.0;
 /// beyond this one, averaged over
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use gannetproxy::agreement::commands;
+use gannetproxy::descriptors;
 use gannetproxy::lease::holder::{self, HolderConfig};
 use gannetproxy::observe::{self, metrics};
 use gannetproxy::proxy::agreed;
@@ -14,33 +15,24 @@
 use gannetproxy::proxy::listcache::ListCache;
 use gannetproxy::proxy::server::{self, Server};
 use gannetproxy::registry::{self, RegistryConfig};
+use std::net::SocketAddr;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 /// Descriptors kept for what is neither a client nor a backend.
 const OWN_DESCRIPTORS: usize = 48;
 /// Descriptors that a process may hold where its system sets no limit of its own.
 const USUAL_DESCRIPTORS: usize = 1024;
-/// Where the system says how many descriptors this process may hold.
-const SYSTEM_LIMITS: &str = "/proc/self/limits";
-
+/// The first and the longest wait before a configuration file that could not be read is read again.
+const READ_AGAIN: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(500)];
 /// The descriptors that may be held: as configured, and beyond the usual number no more than the system allows.
 fn allowed_descriptors(configured: usize) -> usize {
     if configured <= USUAL_DESCRIPTORS {
         return configured;
     }
-    let limits = std::fs::read_to_string(SYSTEM_LIMITS).unwrap_or_default();
-    configured.min(open_files(&limits).unwrap_or(USUAL_DESCRIPTORS))
-}
-
-/// The soft limit of open files, in the form of `SYSTEM_LIMITS`.
-fn open_files(limits: &str) -> Option<usize> {
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
-    match line.split_whitespace().next()? {
-        "unlimited" => Some(usize::MAX),
-        number => number.parse().ok(),
-    }
+    configured.min(descriptors::allowed().unwrap_or(USUAL_DESCRIPTORS))
 }
 
 /// How many connections there may be from clients and to backends. Clients hold up to a third of all
@@ -52,6 +44,22 @@
     ((shared - backends) * server::OVERFLOW / (server::OVERFLOW + 1), backends)
 }
 
+/// Where the configuration file now says that discovery is. A file that cannot be read, or makes no sense as while it is
+/// being replaced, is read again: the address until now will go silent.
+async fn read_moved_discovery(reload: &mut Signal) -> Vec<SocketAddr> {
+    let [mut wait, most] = READ_AGAIN;
+    loop {
+        match Config::moved_discovery() {
+            Ok(addresses) => return addresses,
+            Err(error) => eprintln!("dewpier: not reloaded yet: {error}"),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(wait) => wait = (2 * wait).min(most),
+            _ = reload.recv() => [wait, _] = READ_AGAIN,
+        }
+    }
+}
+
 async fn run(mut config: Config) -> std::io::Result<()> {
     let agreement = config.agreement.take();
     if agreement.is_some() {
@@ -90,17 +98,14 @@
     let moving = following.clone();
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
-            match Config::moved_discovery() {
-                Ok(addresses) => {
-                    let named: Vec<String> = addresses.iter().map(ToString::to_string).collect();
-                    eprintln!("dewpier: discovery is at {}", named.join(","));
-                    if let Some(following) = &moving {
-                        following.move_to(addresses.clone());
-                    }
-                    discovery.move_to(addresses);
-                }
-                Err(error) => eprintln!("dewpier: not reloaded: {error}"),
+            let addresses = read_moved_discovery(&mut reload).await;
+            let named: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+            tracing::info!(addresses = named.join(","), "discovery has moved");
+            eprintln!("dewpier: discovery is at {}", named.join(","));
+            if let Some(following) = &moving {
+                following.move_to(addresses.clone());
             }
+            discovery.move_to(addresses);
         }
     });
     let stopped = async move {
--- a/src/proxy/listcache.rs
+++ b/src/proxy/listcache.rs
@@ -5,6 +5,7 @@
 //! that is missing, damaged or older than the configuration's `known` is passed over, with a line in the log.
 
 use super::lists::{RawEntry, RawList};
+use crate::files::replace;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -81,21 +82,27 @@
     }
 }
 
-/// Writes the cache after each change, at most once each `WRITE_EVERY`, for as long as the proxy runs.
+/// Writes the cache after each change, at most once each `WRITE_EVERY`, for as long as the proxy runs; what could not
+/// be written is written again then.
 pub async fn keep(cache: std::rc::Rc<std::cell::RefCell<ListCache>>) {
     let changed = cache.borrow().changes();
     loop {
         changed.notified().await;
         let (path, contents) = cache.borrow().contents();
         let written = tokio::task::spawn_blocking(move || {
-            let aside = path.with_extension("new");
-            std::fs::write(&aside, contents)
-                .and_then(|()| std::fs::rename(&aside, &path))
-                .map_err(|e| format!("list cache {}: {e}", path.display()))
+            write(&path, &contents).map_err(|e| format!("list cache {}: {e}", path.display()))
         });
         if let Ok(Err(error)) = written.await {
             eprintln!("{error}");
+            changed.notify_one();
         }
         tokio::time::sleep(WRITE_EVERY).await;
     }
 }
+
+fn write(path: &Path, contents: &str) -> std::io::Result<()> {
+    let named = path.file_name().and_then(|name| name.to_str());
+    let name = named.ok_or_else(|| std::io::Error::other("a path that ends in a file's name is wanted"))?;
+    let dir = path.parent().filter(|dir| !dir.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    replace(dir, name, contents.as_bytes()).map(drop)
+}
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -6,6 +6,7 @@
 mod agreed;
 pub mod api;
 pub mod clock;
+pub mod connections;
 mod keepalive;
 pub mod liveness;
 pub mod node;
@@ -13,9 +14,10 @@
 pub mod store;
 
 use crate::sockets::{self, Socket};
+use connections::Connections;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -82,6 +84,9 @@
     pub clock_jump_s: f64,
 }
 
+/// A connection on which no whole head of a call has come for so long is closed. Callers come back on a new one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
 fn default_node() -> u64 {
     1
 }
@@ -206,25 +211,40 @@
     };
     tokio::select! {
         joined = joining => joined.map_err(std::io::Error::other),
-        () = accept(listener, api.clone()) => Ok(()),
+        () = accept(listener, api.clone(), Connections::for_watchers(config.most_watchers)) => Ok(()),
     }
 }
 
 /// Takes connections in for as long as the node lives.
-async fn accept(listener: tokio::net::TcpListener, api: Rc<api::Api>) {
+async fn accept(listener: tokio::net::TcpListener, api: Rc<api::Api>, connections: Rc<Connections>) {
     loop {
+        connections.room().await;
         let (stream, _) = sockets::accept(&listener).await;
-        let _ = stream.set_nodelay(true);
-        let api = api.clone();
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "small answers may be held back");
+        }
+        let (api, connection) = (api.clone(), connections.add());
         tokio::task::spawn_local(async move {
+            let working = connection.clone();
             let service = service_fn(move |request| {
-                let api = api.clone();
-                async move { Ok::<_, std::convert::Infallible>(api.handle(request).await) }
+                let (api, working) = (api.clone(), working.clone());
+                async move {
+                    working.works();
+                    let answer = api.handle(request).await;
+                    working.rests();
+                    Ok::<_, std::convert::Infallible>(answer)
+                }
             });
-            if let Err(error) =
-                http1::Builder::new().serve_connection(TokioIo::new(Socket::new(stream)), service).await
-            {
-                tracing::debug!(%error, "connection ended");
+            let mut http = http1::Builder::new();
+            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+            let serving = http.serve_connection(TokioIo::new(Socket::new(stream)), service);
+            tokio::select! {
+                served = serving => {
+                    if let Err(error) = served {
+                        tracing::debug!(%error, "connection ended");
+                    }
+                }
+                () = connection.evicted() => tracing::debug!("connection made room"),
             }
         });
     }
--- a/src/registry/node.rs
+++ b/src/registry/node.rs
@@ -7,8 +7,8 @@
 //!
 //! Renewals are heard by the leader and written nowhere ([`super::liveness`]).
 //!
-//! A node whose disk refuses a write has failed: Raft stops, and it answers nothing but that error, so that
-//! clients go to another node (fail-stop).
+//! While a node's disk refuses writes, nothing that waits for that disk is acknowledged; once it takes them again the
+//! node goes on by itself ([`super::raft::log`]).
 
 use super::RegistryConfig;
 use super::clock::LogClock;
--- a/src/registry/raft/log.rs
+++ b/src/registry/raft/log.rs
@@ -8,6 +8,10 @@
 //! - `raft.mark`: after each fsync, the log's generation and durable length, and the last commit known. It is
 //!   not fsynced itself: it outlives the process (SIGKILL), and after a power loss is merely older.
 //!
+//! A write or an fsync that fails is not made again on the same file, as the kernel may have dropped what it could not
+//! write: the whole log is written anew from memory, beside, fsynced and renamed, until that succeeds. Whoever waits to
+//! hear that its entries are durable waits meanwhile; the node goes on by itself once its disk does.
+//!
 //! At start, a record cut short at the very end *behind the mark* is a write that was never acknowledged: it
 //! is cut off and said so. Anything else that does not read as written stops the start, naming the file and
 //! the byte: a bad checksum, a log shorter than the mark says, a log of an older generation than the mark's,
@@ -15,17 +19,18 @@
 //! can't tell, and a node that lost acknowledged entries or its vote never takes part in a quorum.
 
 use super::{Entry, LogId, NodeId, StorageError, TypeConfig, Vote};
+use crate::files::replace;
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage};
 use openraft::{OptionalSend, RaftLogReader, StorageIOError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
-use std::io::Write;
 use std::ops::RangeBounds;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::oneshot;
 
@@ -33,6 +38,8 @@
 pub const MOST_RECORD: usize = 64 << 10;
 /// Records in the file beyond twice those alive at which it is written anew.
 const SLACK: usize = 4_096;
+/// The wait before a log that could not be written is written anew.
+const WRITE_AGAIN: Duration = Duration::from_millis(50);
 /// The name of the log file.
 const LOG: &str = "raft.log";
 /// The name of the mark file.
@@ -143,7 +150,14 @@
     state: Arc<Mutex<State>>,
     /// To the writing thread; none where the log is in memory only.
     jobs: Option<Sender<Job>>,
+    owner: Owner,
+}
+
+/// Whose log it is.
+#[derive(Clone, Copy)]
+struct Owner {
     node: NodeId,
+    /// Drawn when the log was first made.
     incarnation: u64,
 }
 
@@ -181,22 +195,6 @@
     }
 }
 
-/// Fsyncs a directory, so that a rename in it is durable.
-pub fn sync_dir(dir: &Path) -> std::io::Result<()> {
-    File::open(dir)?.sync_all()
-}
-
-/// Writes `bytes` to `name` in `dir`, replacing it whole: either the old or the new one is there after a crash.
-pub fn replace(dir: &Path, name: &str, bytes: &[u8]) -> std::io::Result<File> {
-    let aside = dir.join(format!("{name}.new"));
-    let mut file = File::create(&aside)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    std::fs::rename(&aside, dir.join(name))?;
-    sync_dir(dir)?;
-    Ok(file)
-}
-
 impl Mark {
     fn bytes(self, committed: Option<LogId>) -> Vec<u8> {
         let body = serde_json::to_vec(&(self.generation, self.length, committed)).unwrap_or_default();
@@ -254,6 +252,23 @@
     fn last(&self) -> Option<LogId> {
         self.entries.last_key_value().map(|(_, entry)| entry.log_id).or(self.purged)
     }
+
+    /// The whole log as a file's contents.
+    fn contents(&mut self, Owner { node, incarnation }: Owner) -> std::io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        frame(&mut bytes, &Record::Head { node, incarnation, generation: self.generation })?;
+        if let Some(vote) = self.vote {
+            frame(&mut bytes, &Record::Vote(vote))?;
+        }
+        if let Some(purged) = self.purged {
+            frame(&mut bytes, &Record::Purge(purged))?;
+        }
+        for entry in self.entries.values() {
+            frame(&mut bytes, &Record::Entry(entry.clone()))?;
+        }
+        self.records = self.entries.len() + 3;
+        Ok(bytes)
+    }
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
@@ -263,7 +278,7 @@
 impl Log {
     /// A log in memory only, for a node alone.
     pub fn in_memory(node: NodeId) -> Self {
-        Self { state: Arc::default(), jobs: None, node, incarnation: 0 }
+        Self { state: Arc::default(), jobs: None, owner: Owner { node, incarnation: 0 } }
     }
 
     /// Opens (or creates) the log of `node` in `dir`.
@@ -325,10 +340,12 @@
         let recovered = Recovered { entries: state.entries.len(), torn_bytes };
         let incarnation = head.map_or_else(rand::random, |(_, incarnation)| incarnation);
         let (jobs, queue) = channel();
-        let log = Self { state: Arc::new(Mutex::new(state)), jobs: Some(jobs), node, incarnation };
+        let owner = Owner { node, incarnation };
+        let log = Self { state: Arc::new(Mutex::new(state)), jobs: Some(jobs), owner };
         let file = if head.is_none() {
-            lock(&log.state).generation = 1;
-            let contents = log.contents().map_err(io(&path))?;
+            let mut state = lock(&log.state);
+            state.generation = 1;
+            let contents = state.contents(owner).map_err(io(&path))?;
             at = contents.len();
             replace(dir, LOG, &contents).map_err(io(&path))?
         } else {
@@ -346,7 +363,8 @@
             (state.generation, state.committed)
         };
         let mark = Mark { generation, length: at as u64 };
-        let mut writer = Writer { dir: dir.into(), file, mark_file, mark, committed };
+        let state = log.state.clone();
+        let mut writer = Writer { dir: dir.into(), file, mark_file, mark, committed, state, owner };
         writer.write_mark().map_err(io(&mark_path))?;
         std::thread::spawn(move || writer.run(&queue));
         Ok((log, recovered))
@@ -354,7 +372,7 @@
 
     /// A number drawn when the log was first made: tells a log from a later one in its place.
     pub fn incarnation(&self) -> u64 {
-        self.incarnation
+        self.owner.incarnation
     }
 
     /// Whether nothing has ever been written to it: no entry, no vote, nothing purged.
@@ -368,33 +386,15 @@
         lock(&self.state).purged
     }
 
-    /// The whole log as a file's contents.
-    fn contents(&self) -> std::io::Result<Vec<u8>> {
-        let mut state = lock(&self.state);
-        let mut bytes = Vec::new();
-        let generation = state.generation;
-        frame(&mut bytes, &Record::Head { node: self.node, incarnation: self.incarnation, generation })?;
-        if let Some(vote) = state.vote {
-            frame(&mut bytes, &Record::Vote(vote))?;
-        }
-        if let Some(purged) = state.purged {
-            frame(&mut bytes, &Record::Purge(purged))?;
-        }
-        for entry in state.entries.values() {
-            frame(&mut bytes, &Record::Entry(entry.clone()))?;
-        }
-        state.records = state.entries.len() + 3;
-        Ok(bytes)
-    }
-
     /// Takes a record in and has it written.
     fn write(&self, record: Record, done: Done) -> std::io::Result<()> {
         let mut bytes = Vec::new();
         frame(&mut bytes, &record)?;
+        // Sent under the lock: the writer, which holds it to write the log anew, then finds in the queue all that is in
+        // the state.
         let mut state = lock(&self.state);
         state.take(record).map_err(std::io::Error::other)?;
         state.records += 1;
-        drop(state);
         self.send(Job::Write(bytes, done))
     }
 
@@ -422,10 +422,8 @@
             return Ok(());
         }
         state.generation += 1;
-        let generation = state.generation;
-        drop(state);
-        let contents = self.contents()?;
-        self.send(Job::Replace(contents, generation))
+        let contents = state.contents(self.owner)?;
+        self.send(Job::Replace(contents, state.generation))
     }
 }
 
@@ -436,17 +434,19 @@
     mark_file: File,
     mark: Mark,
     committed: Option<LogId>,
+    state: Arc<Mutex<State>>,
+    owner: Owner,
 }
 
 impl Writer {
-    /// Writes what is queued, as much as there is at a time with one fsync, until the log is dropped. After
-    /// an error nothing more is written: what came first is told the error, and so is all that comes later.
+    /// Writes what is queued, as much as there is at a time with one fsync, until the log is dropped. What fails is
+    /// written anew; those that wait are told once it is durable.
     fn run(&mut self, queue: &Receiver<Job>) {
-        let mut failed: Option<String> = None;
         while let Ok(first) = queue.recv() {
             let mut jobs = vec![first];
             jobs.extend(queue.try_iter().take(1024));
             let (mut bytes, mut waiting) = (Vec::new(), Vec::new());
+            let mut written = Ok(());
             for job in jobs {
                 match job {
                     Job::Write(more, done) => {
@@ -456,19 +456,45 @@
                     Job::Replace(contents, generation) => {
                         // What was queued before is in the new contents: it becomes durable with them.
                         bytes.clear();
-                        if failed.is_none() {
-                            failed = self.rewrite(&contents, generation).err().map(|e| e.to_string());
-                        }
+                        written = written.and_then(|()| self.rewrite(&contents, generation));
                     }
                     Job::Committed(committed) => self.committed = Some(committed),
                 }
             }
-            if failed.is_none() {
-                failed = self.append(&bytes).err().map(|e| e.to_string());
+            let written = written.and_then(|()| self.append(&bytes));
+            if let Err(error) = written {
+                self.write_anew(queue, &mut waiting, &error);
             }
-            for done in waiting {
-                done.tell(failed.as_ref().map_or(Ok(()), |why| Err(std::io::Error::other(why.clone()))));
+            waiting.into_iter().for_each(|done| done.tell(Ok(())));
+        }
+    }
+
+    /// Writes the whole log anew from memory until that succeeds, or nobody has the log any more. All that is queued is
+    /// part of it, and joins those that wait.
+    fn write_anew(&mut self, queue: &Receiver<Job>, waiting: &mut Vec<Done>, first: &std::io::Error) {
+        tracing::error!(error = %first, dir = %self.dir.display(), "the log cannot be written");
+        while Arc::strong_count(&self.state) > 1 {
+            let (contents, generation) = {
+                let state = self.state.clone();
+                let mut state = lock(&state);
+                for job in queue.try_iter() {
+                    match job {
+                        Job::Write(_, done) => waiting.push(done),
+                        Job::Replace(..) => {}
+                        Job::Committed(committed) => self.committed = Some(committed),
+                    }
+                }
+                state.generation += 1;
+                (state.contents(self.owner), state.generation)
+            };
+            match contents.and_then(|contents| self.rewrite(&contents, generation)) {
+                Ok(()) => {
+                    tracing::info!(dir = %self.dir.display(), generation, "the log is written anew");
+                    return;
+                }
+                Err(error) => tracing::debug!(%error, "the log cannot be written anew yet"),
             }
+            std::thread::sleep(WRITE_AGAIN);
         }
     }
 
--- a/src/registry/raft/machine.rs
+++ b/src/registry/raft/machine.rs
@@ -2,9 +2,10 @@
 //! log be purged. With a data directory the snapshot is kept in `raft.snapshot`: one framed record, as in
 //! [`super::log`], replaced whole.
 
-use super::log::{DiskError, replace, unframe};
+use super::log::{DiskError, unframe};
 use super::{Applied, Entry, LogId, Membership, StorageError, TypeConfig};
 use crate::agreement::state::Done;
+use crate::files::replace;
 use crate::registry::store::{Command, Snapshot as StoreSnapshot, Store, StoreError};
 use openraft::storage::RaftStateMachine;
 use openraft::{
@@ -14,10 +15,13 @@
 use std::io::Cursor;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Largest snapshot: the longest list, its leases and room for both.
 const MOST_SNAPSHOT: usize = 64 << 20;
+/// The wait before a snapshot that could not be written is written again, whole.
+const KEEP_AGAIN: Duration = Duration::from_millis(200);
 /// The name of the snapshot's file.
 const SNAPSHOT: &str = "raft.snapshot";
 
@@ -204,11 +208,12 @@
         snapshot: Box<Cursor<Vec<u8>>>,
     ) -> Result<(), StorageError> {
         let body = snapshot.into_inner();
-        let signature = Some(meta.signature());
         let kept: Kept = serde_json::from_slice(&body)
-            .map_err(|e| StorageIOError::read_snapshot(signature.clone(), AnyError::new(&e)))?;
-        keep(self.dir.as_deref(), &body)
-            .map_err(|e| StorageIOError::write_snapshot(signature, AnyError::new(&e)))?;
+            .map_err(|e| StorageIOError::read_snapshot(Some(meta.signature()), AnyError::new(&e)))?;
+        while let Err(error) = keep(self.dir.as_deref(), &body) {
+            tracing::warn!(%error, "the snapshot cannot be written yet");
+            tokio::time::sleep(KEEP_AGAIN).await;
+        }
         *self.shared.store() = Store::restore(kept.store);
         (self.applied, self.membership) = (meta.last_log_id, meta.last_membership.clone());
         *self.snapshot.lock().unwrap_or_else(|e| e.into_inner()) = Some((meta.clone(), Arc::new(body)));
@@ -237,7 +242,10 @@
         // Off the node's thread: a list of 6,000 entries takes a while to write and fsync.
         let written = tokio::task::spawn_blocking(move || {
             let body = encode(&kept)?;
-            keep(dir.as_deref(), &body)?;
+            while let Err(error) = keep(dir.as_deref(), &body) {
+                tracing::warn!(%error, "the snapshot cannot be written yet");
+                std::thread::sleep(KEEP_AGAIN);
+            }
             Ok::<_, std::io::Error>(body)
         });
         let body = written.await.unwrap_or_else(|e| Err(std::io::Error::other(e))).map_err(fails)?;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1278,6 +1278,22 @@
     assert_eq!(refusals, 0);
 }
 
+/// What has come on new connections while the process was held up, before backends with nothing else to do.
+#[test]
+fn what_a_hold_up_lets_in_together_is_served_where_backends_soon_have_done_it() {
+    let mut settings = Settings { tier: 0, ..safe() };
+    settings.classes[0].aim = 2.5;
+    settings.classes[0].deadline = 6.0;
+    let mut bench = Bench::seeded(7, settings, &fleet(4));
+    for id in 0..400 {
+        bench.run_to(bench.now + 0.01);
+        bench.served(id, 0.003);
+    }
+    bench.run_to(bench.now + 0.45);
+    let refusals = (1000..1240).filter(|id| refused(&bench.request_for(*id, 2.0), *id)).count();
+    assert_eq!(refusals, 0, "of 240 that take 3 ms each at four backends");
+}
+
 /// A single balancer before very many backends that are all alike: rounding must leave some of them to choose from.
 #[test]
 fn one_of_very_many_equal_backends_is_always_found() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod deployments;
 mod durable;
 mod duties;
+mod failing_disk;
 mod hard;
 mod hardening;
 mod harness;
--- a/tests/fleet/system_calls.rs
+++ b/tests/fleet/system_calls.rs
@@ -155,3 +155,39 @@
         "accept=ENFILE@0.1:0-600000",
     ]);
 }
+
+/// Clients that connect and send while a process that has been told to stop is held up.
+const LATE_CLIENTS: usize = 40;
+/// When it is held up, behind SIGTERM, and for how long: the listener is to be closed meanwhile, 1.1 s behind it.
+const HELD_UP_AFTER: Duration = Duration::from_millis(900);
+const HELD_UP: Duration = Duration::from_millis(450);
+
+#[test]
+fn what_the_system_has_accepted_is_answered_at_the_stop_whatever_accept_says() {
+    let fixture = Fixture::start(&["accept=ECONNABORTED@0.33:0-600000"]);
+    let address = fixture.proxy.address();
+    fixture.proxy.signal(nix::sys::signal::Signal::SIGTERM);
+    std::thread::sleep(HELD_UP_AFTER);
+    fixture.proxy.signal(nix::sys::signal::Signal::SIGSTOP);
+    let clients = std::thread::spawn(move || {
+        Loop::shared().wait(move || async move {
+            let client = |number: usize| async move {
+                let mut conn = Conn::new(TcpStream::connect(address).await.ok()?);
+                conn.write(&request(10_000 + number)).await.ok()?;
+                conn.read().await.ok().map(|answer| answer.status())
+            };
+            let clients: Vec<_> =
+                (0..LATE_CLIENTS).map(|number| tokio::task::spawn_local(client(number))).collect();
+            let mut ends = Vec::new();
+            for one in clients {
+                ends.push(one.await.expect("a client plays"));
+            }
+            ends
+        })
+    });
+    std::thread::sleep(HELD_UP);
+    fixture.proxy.signal(nix::sys::signal::Signal::SIGCONT);
+    let ends = clients.join().expect("the clients end").expect("the clients play");
+    let lost = ends.iter().filter(|end| end.is_none()).count();
+    assert_eq!(lost, 0, "reset or closed without an answer, of {LATE_CLIENTS}: {ends:?}");
+}
