Bound the start that a backend is told to have by what was seen here

Cause: startedAtMs was reckoned against one reading of the wall clock for the life of the process: an hour behind, a backend that came up now got next to nothing for an hour; an hour ahead, it got no slow start.

Change: no start lies ahead of now; one that an answer changes or tells first does not lie before the answer before it; told again, it stays. The first answer to a process is taken at its word.

Test: five errors of the wall clock, from an hour behind to an hour ahead.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -8,7 +8,7 @@
 use crate::list_calls::turn_patience;
 use crate::observe::metrics::{self, Count};
 use crate::observe::reason::ListCall;
-use crate::{BackendId, Entry, Settings, Status, number_of};
+use crate::{BackendId, Entry, Settings, Status, Time, number_of};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -78,9 +78,31 @@
     taken: HashMap<BackendId, String>,
     /// Two names came to one number, and who has which depends on all that were ever listed: none is forgotten.
     collided: bool,
+    /// When each backend started: as it was told, and by the clock here.
+    starts: HashMap<String, Start>,
+    /// When the answer before was taken in.
+    answered_at: Option<Time>,
+}
+
+/// When a backend started.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    told_ms: f64,
+    at: Time,
 }
 
 impl Translation {
+    fn new(zones: Vec<String>) -> Self {
+        Self {
+            zones,
+            ids: HashMap::new(),
+            taken: HashMap::new(),
+            collided: false,
+            starts: HashMap::new(),
+            answered_at: None,
+        }
+    }
+
     /// A number for a backend's name, the same at every proxy: they share out the backends by it.
     fn id(&mut self, name: &str) -> BackendId {
         if let Some(&id) = self.ids.get(name) {
@@ -96,8 +118,26 @@
         id
     }
 
+    /// When a backend started, by the clock here. What is told is wall time, of which this machine or another may be
+    /// wrong: it is bounded by what was seen here. No start lies ahead, and one that an answer changes, or tells for the
+    /// first time, does not lie before the answer that came before it. What the first answer tells is taken at its word:
+    /// nothing was seen before.
+    fn started(&mut self, name: &str, told_ms: f64, clock: &Clock) -> Option<Time> {
+        if told_ms <= 0.0 {
+            self.starts.remove(name);
+            return None;
+        }
+        if let Some(known) = self.starts.get(name).filter(|known| known.told_ms == told_ms) {
+            return Some(known.at);
+        }
+        let earliest = self.answered_at.unwrap_or(Time::NEG_INFINITY);
+        let at = clock.of_unix(told_ms / 1000.0).clamp(earliest, clock.now().max(earliest));
+        self.starts.insert(name.to_string(), Start { told_ms, at });
+        Some(at)
+    }
+
     fn list(&mut self, RawList { instances: raw, reset, .. }: RawList, clock: &Clock) -> Vec<Listed> {
-        let gone: Vec<String> = match reset {
+        let gone: HashSet<String> = match reset {
             true => {
                 let named: HashSet<&String> = raw.iter().map(|entry| &entry.instance_id).collect();
                 self.ids.keys().filter(|name| !named.contains(name)).cloned().collect()
@@ -116,11 +156,12 @@
                     Lifecycle::Draining => Status::Draining,
                     Lifecycle::Deleted => Status::Gone,
                 },
-                started: (raw.started_at_ms > 0.0).then(|| clock.of_unix(raw.started_at_ms / 1000.0)),
+                started: self.started(&raw.instance_id, raw.started_at_ms, clock),
             },
             address: raw.host_port,
         };
         let listed = raw.into_iter().map(listed).collect();
+        self.starts.retain(|name, _| !gone.contains(name));
         if !self.collided {
             // Listed again, a name has the same number again.
             gone.iter().filter_map(|name| self.ids.remove(name)).for_each(|id| drop(self.taken.remove(&id)));
@@ -177,7 +218,7 @@
         engine: Rc<Engine>,
     ) -> Rc<Self> {
         let zones = wire.zones.clone();
-        let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new(), collided: false };
+        let names = Translation::new(zones);
         let seed = addresses
             .iter()
             .fold(u64::from(settings.me as u32), |h, a| h.rotate_left(7) ^ number_of(&a.to_string()) as u64);
@@ -344,7 +385,13 @@
             cache.borrow_mut().take(&list);
         }
         let whole = list.reset;
-        let listed = self.names.borrow_mut().list(list, self.engine.clock());
+        let clock = self.engine.clock();
+        let listed = {
+            let mut names = self.names.borrow_mut();
+            let listed = names.list(list, clock);
+            names.answered_at = Some(clock.now());
+            listed
+        };
         let news = if whole { News::Full(listed) } else { News::Changes(listed) };
         self.engine.news(news);
         if let Some(told) = self.on_list.borrow().as_ref() {
--- a/src/proxy/discovery/tests.rs
+++ b/src/proxy/discovery/tests.rs
@@ -15,7 +15,7 @@
 }
 
 fn translation() -> Translation {
-    Translation { zones: Vec::new(), ids: HashMap::new(), taken: HashMap::new(), collided: false }
+    Translation::new(Vec::new())
 }
 
 /// The numbers of the backends of a whole list.
@@ -52,3 +52,44 @@
     assert!(numbers(&mut translation, &[]).is_empty());
     assert_eq!(numbers(&mut translation, &[&b]), [number_of(&b)]);
 }
+
+/// Where a backend of a list is told to have started at this Unix time, its start by the clock here.
+fn start_of(translation: &mut Translation, clock: &Clock, unix: f64) -> Option<f64> {
+    let list = serde_json::json!({"generation": 1, "reset": false, "instances": [
+        {"instanceId": "s", "hostPort": "127.0.0.1:9", "lifecycle": "SERVING", "startedAtMs": unix * 1000.0}]});
+    let listed = translation.list(serde_json::from_value(list).expect("a list"), clock);
+    translation.answered_at = Some(clock.now());
+    listed[0].entry.started
+}
+
+const HOUR: f64 = 3600.0;
+
+/// The wall clock of the proxy's machine, or of the backend's, may be wrong by an hour either way.
+#[tokio::test(start_paused = true)]
+async fn a_start_is_bounded_by_what_was_seen_here_whatever_the_wall_clocks_say() {
+    let clock = Clock::start();
+    let now_unix = |clock: &Clock| clock.now() - clock.of_unix(0.0);
+    for wrong_by in [-HOUR, -5.0, 0.0, 5.0, HOUR] {
+        let mut translation = translation();
+        assert_eq!(start_of(&mut translation, &clock, 0.0), None);
+        tokio::time::advance(Duration::from_secs(2)).await;
+        let (before, told) = (translation.answered_at.expect("an answer"), now_unix(&clock) - 0.5 + wrong_by);
+        let start = start_of(&mut translation, &clock, told).expect("a start");
+        assert!((before..=clock.now()).contains(&start), "{wrong_by}: {start} of {before}");
+        // Told again, it stays; told otherwise, it has started again.
+        tokio::time::advance(Duration::from_secs(7)).await;
+        assert_eq!(start_of(&mut translation, &clock, told), Some(start), "{wrong_by}");
+        let again = start_of(&mut translation, &clock, told + 1.0).expect("a start");
+        assert!(again > start, "{wrong_by}: {again} after {start}");
+    }
+}
+
+/// Nothing was seen before the first answer: what lies ahead is the only thing known to be wrong.
+#[tokio::test(start_paused = true)]
+async fn the_first_answer_is_taken_at_its_word_but_for_starts_that_lie_ahead() {
+    let clock = Clock::start();
+    let unix = -clock.of_unix(0.0);
+    let started = |told: f64| start_of(&mut translation(), &clock, told).expect("a start");
+    assert!((started(unix - 3.0) + 3.0).abs() < 0.01);
+    assert!(started(unix + HOUR).abs() < 0.01, "not an hour ahead");
+}
