--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod scale;
 mod scratch;
 pub mod shim;
+pub mod soak;
 pub mod spec;
 pub mod stage;
 pub mod usage;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,8 @@
 use fleetlab::rt::Loop;
 use fleetlab::run::{self, Options, default_program};
 use fleetlab::scale::{self, ScaleExperiment};
+use fleetlab::soak::plan::{Plan, Spec};
+use fleetlab::soak::{play, shrink};
 use fleetlab::spec::{Experiment, setting};
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -16,6 +18,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+/// Broken rules of one play that are shown.
+const MAX_BREAKS_SHOWN: usize = 12;
 /// The demo's experiment.
 const DEMO: &str = include_str!("../experiments/demo.toml");
 
@@ -139,6 +143,29 @@
         #[arg(long)]
         set: Vec<String>,
     },
+    /// Plays randomized faults on real proxies, and judges from outside what clients, backends and discovery have seen.
+    Soak {
+        /// What plans are drawn from.
+        file: String,
+        /// The seed of the first plan.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Plans to play, of one seed after the other.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// Plays this plan instead, as an earlier run has written it.
+        #[arg(long)]
+        replay: Option<PathBuf>,
+        /// Does not shrink plans that fail.
+        #[arg(long)]
+        no_shrink: bool,
+        /// Where plans that fail go.
+        #[arg(long, default_value = "target/soak")]
+        out: PathBuf,
+        /// The program (default: `dewpier` beside this one).
+        #[arg(long)]
+        proxy_binary: Option<PathBuf>,
+    },
     /// Three list-service nodes, 8 proxies and 12 backends for 20 s with a crash and a partition: tells what held.
     Demo {
         /// Where the report and the plots go.
@@ -193,6 +220,10 @@
         Command::ScaleSize { file, size, result, proxy_binary, set } => {
             play_size(&file, &set, size, &proxy_binary, &result, &stop)
         }
+        Command::Soak { file, seed, runs, replay, no_shrink, out, proxy_binary } => {
+            let program = proxy_binary.unwrap_or_else(default_program);
+            soak(&SoakOptions { file, seed, runs, replay, shrinks: !no_shrink, out, program }, &stop)
+        }
         Command::Demo { out, proxy_binary } => demo(options(proxy_binary, 1, Some(out), &stop)),
     };
     match ended {
@@ -320,6 +351,67 @@
     std::process::exit(0)
 }
 
+/// What the soak is asked for.
+struct SoakOptions {
+    file: String,
+    seed: u64,
+    runs: u64,
+    replay: Option<PathBuf>,
+    shrinks: bool,
+    out: PathBuf,
+    program: PathBuf,
+}
+
+/// Plays one plan or several; the exit code is 1 where any has failed.
+fn soak(options: &SoakOptions, stop: &AtomicBool) -> Ended {
+    let read = |path: &Path| std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
+    std::fs::create_dir_all(&options.out).map_err(|e| format!("{}: {e}", options.out.display()))?;
+    let plans: Vec<Plan> = match &options.replay {
+        Some(path) => vec![toml::from_str(&read(path)?).map_err(|e| e.to_string())?],
+        None => {
+            let spec: Spec = toml::from_str(&read(Path::new(&options.file))?).map_err(|e| e.to_string())?;
+            (0..options.runs).map(|n| Plan::draw(&spec, options.seed + n)).collect()
+        }
+    };
+    let mut failed = 0;
+    for plan in &plans {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let played = play::play(plan, &options.program)?;
+        println!(
+            "seed {}: {} troubles, {} tries, {} served, {} refused, {} broken",
+            plan.seed,
+            plan.troubles.len(),
+            played.tries,
+            played.served,
+            played.refused,
+            played.breaks.len()
+        );
+        for one in played.breaks.iter().take(MAX_BREAKS_SHOWN) {
+            println!("  {}: {}", one.rule, one.what);
+        }
+        if played.breaks.is_empty() {
+            continue;
+        }
+        failed += 1;
+        let path = options.out.join(format!("seed-{}.toml", plan.seed));
+        let kept =
+            if options.shrinks && options.replay.is_none() { shrunk(plan, options) } else { plan.clone() };
+        play::save(&kept, &path)?;
+        println!("  plan: {} with {} troubles", path.display(), kept.troubles.len());
+    }
+    println!("{failed} of {} plans failed", plans.len());
+    Ok(u8::from(failed > 0))
+}
+
+/// The least plan that still fails.
+fn shrunk(plan: &Plan, options: &SoakOptions) -> Plan {
+    shrink::shrink(plan, |shorter| {
+        play::play(shorter, &options.program).is_ok_and(|played| !played.breaks.is_empty())
+    })
+}
+
 fn demo(options: Options) -> Ended {
     let experiment: Experiment = toml::from_str(DEMO).map_err(|e| e.to_string())?;
     println!("{}", experiment.about);
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -248,6 +248,11 @@
         self.address.expect("a started process has said where it listens")
     }
 
+    /// The configuration file that it was started with.
+    pub fn config_path(&self) -> &Path {
+        &self.path
+    }
+
     /// Its process id, until it has been reaped.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
