Send where answers have come from of late while no list can be had

Change: once no list could be had for 4 s, a backend that has answered within 4 s goes before all others.

Test: while_no_list_can_be_had_requests_go_where_answers_have_come_from_of_late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,7 +78,8 @@
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
 const COLD_MARGIN: f64 = 0.4;
 /// A list that could not be had for so long, in seconds, may lack a drain that counts as told by now or
-/// before long: what discovery has counts as told 6 s after it can be reached.
+/// before long: what discovery has counts as told 6 s after it can be reached. An answer that is older may be
+/// from before that drain.
 const STALE_LIST: Time = 4.0;
 /// So many refusals in a row are a drain's; a backend that is merely full takes some requests in between.
 const REFUSALS_OF_A_DRAIN: u32 = 2;
@@ -736,6 +737,9 @@
             }
             pool.retain(|b| self.usable(*b));
         }
+        if self.list_calls.failing_for(self.now) > STALE_LIST {
+            self.keep_answering(slot, scope, &tried, &mut pool);
+        }
         // None above the mean load is drawn: slow machines would be crowded when both drawn are slow.
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
         // A sum of so many is off by as many roundings.
@@ -750,6 +754,25 @@
         Some(first)
     }
 
+    /// While no list can be had, backends that have answered of late are the ones that surely do not drain:
+    /// the others are left out of the pool, unless there are none such.
+    fn keep_answering(&mut self, slot: Slot, scope: Scope, tried: &[usize], pool: &mut Vec<usize>) {
+        let since = self.now - STALE_LIST;
+        let mut answering = pool.clone();
+        answering.retain(|b| self.backends[*b].answered_at > since);
+        if answering.is_empty() {
+            answering = self.listed.clone();
+            let backends = &self.backends;
+            let holds = |b: &usize| backends[*b].answered_at > since && scope.holds(&backends[*b].entry);
+            answering.retain(|b| holds(b) && !tried.contains(b));
+            answering.retain(|b| self.usable(*b));
+        }
+        if !answering.is_empty() {
+            *pool = answering;
+            self.calls[slot].other = None;
+        }
+    }
+
     fn draw(&mut self, len: usize) -> Option<usize> {
         (len > 0).then(|| self.rng.random_range(0..len))
     }
--- a/tests/crowded_discovery.rs
+++ b/tests/crowded_discovery.rs
@@ -203,3 +203,28 @@
     let [refused, _] = one_refuses(&mut bench, &mut next);
     assert!(refused > 0, "the list does not say that it drains");
 }
+
+/// The backends that a run of requests goes to, each answered at once.
+fn used(bench: &mut Bench, first: u64) -> std::collections::BTreeSet<u32> {
+    (first..first + 40)
+        .map(|id| {
+            bench.run_to(bench.now + 0.02);
+            bench.served(id, 0.001)
+        })
+        .collect()
+}
+
+#[test]
+fn while_no_list_can_be_had_requests_go_where_answers_have_come_from_of_late() {
+    let list: Vec<Entry> = (1..=6).map(entry).collect();
+    let mut bench = Bench::new(Settings { must_watch: true, ..safe() }, &list);
+    bench.event(Event::List(ListUpdate::Full(&list)));
+    assert!(used(&mut bench, 100).len() > 2, "with a list all members are used");
+    bench.event(Event::List(ListUpdate::Refused));
+    bench.run_to(bench.now + 5.0);
+    bench.event(Event::List(ListUpdate::Refused));
+    // Nothing has been heard of any for longer than a drain may be unknown: the first that answers is gone by.
+    assert_eq!(used(&mut bench, 200).len(), 1);
+    bench.event(Event::List(ListUpdate::Changes(&[])));
+    assert!(used(&mut bench, 300).len() > 2, "with a list again");
+}
