--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -10,6 +10,7 @@
 
 use super::{Clock, Contender};
 use crate::registry::{ConfigError, read_toml};
+use crate::signals::{SIGTERM, Signals};
 use crate::sockets::{self, Socket};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -25,7 +26,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Most list-service addresses a holder takes, as for the proxy's discovery.
 const MOST_ADDRESSES: usize = 7;
@@ -306,7 +306,7 @@
 /// # Errors
 /// Where the signal handler can't be set up.
 pub async fn hold(config: HolderConfig) -> std::io::Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
+    let mut stop = Signals::listen(SIGTERM)?;
     let seed = config.holder.bytes().fold(0xa11c_e5ed_u64, |h, b| h.rotate_left(5) ^ u64::from(b));
     let clock = Clock::start(config.clock_rate);
     let holder = Rc::new(Holder {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod observe;
 pub mod proxy;
 pub mod registry;
+pub mod signals;
 pub mod sockets;
 pub mod wire;
 
--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -52,15 +52,18 @@
     ask_within: Time,
     /// When the last call began.
     began: Time,
-    /// Calls in a row that failed, and when the first of them did.
+    /// Calls in a row that failed.
     failures: u32,
-    failing_since: Time,
+    /// When the last answer came, or the proxy started.
+    heard: Time,
+    /// Whether any answer has come.
+    has_heard: bool,
 }
 
 impl ListCalls {
     /// The calls of a proxy that starts at `now`.
     pub fn new(now: Time, ask_within: Time) -> Self {
-        Self { ask_within, began: now, failures: 0, failing_since: now }
+        Self { ask_within, began: now, failures: 0, heard: now, has_heard: false }
     }
 
     /// The wait before the first call: proxies often start together.
@@ -74,20 +77,21 @@
     }
 
     /// A call was answered.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, now: Time) {
         self.failures = 0;
+        self.heard = now;
+        self.has_heard = true;
     }
 
-    /// For how long no call has been answered, in seconds; 0 if the last one was.
-    pub fn failing_for(&self, now: Time) -> Time {
-        if self.failures > 0 { now - self.failing_since } else { 0.0 }
+    /// For how long nothing has been heard, in seconds, where calls fail or none has been answered yet: the
+    /// list
+    /// that a process starts on may be old. 0 otherwise.
+    pub fn unheard_for(&self, now: Time) -> Time {
+        if self.failures > 0 || !self.has_heard { now - self.heard } else { 0.0 }
     }
 
     /// A call of one of `proxies` has failed: how long to wait before the next.
     pub fn failed(&mut self, now: Time, proxies: usize, rng: &mut SmallRng) -> Time {
-        if self.failures == 0 {
-            self.failing_since = now;
-        }
         let [first, most] = RETRY;
         let doubled = first.min(RETRY_WITHIN * self.ask_within) * f64::from(1 << self.failures.min(8));
         let retry = doubled.min(most) * (0.5 + rng.random::<f64>());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -737,7 +737,7 @@
             }
             pool.retain(|b| self.usable(*b));
         }
-        if self.list_calls.failing_for(self.now) > STALE_LIST {
+        if self.list_unheard_for() > STALE_LIST {
             self.keep_answering(slot, scope, &tried, &mut pool);
         }
         // None above the mean load is drawn: slow machines would be crowded when both drawn are slow.
@@ -810,10 +810,15 @@
         b.cold.room >= 1.0
     }
 
+    /// For how long no list could be had, where it must be asked for.
+    fn list_unheard_for(&self) -> Time {
+        if self.settings.must_watch { self.list_calls.unheard_for(self.now) } else { 0.0 }
+    }
+
     /// While no list can be had, a backend that refuses one attempt after another is taken to drain or to be
     /// gone: a list would have told so, and nothing new may be sent to it.
     fn may_drain(&self, backend: usize) -> bool {
-        let unheard = self.list_calls.failing_for(self.now);
+        let unheard = self.list_unheard_for();
         unheard > STALE_LIST && self.backends[backend].refusals >= REFUSALS_OF_A_DRAIN
     }
 
@@ -1009,7 +1014,9 @@
             }
             ListUpdate::Changes(entries) => entries.iter().for_each(|e| self.take_in(e, actions)),
         }
-        self.list_calls.answered();
+        if !matches!(update, ListUpdate::Remembered(_)) {
+            self.list_calls.answered(self.now);
+        }
         self.forget();
         self.relist();
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,10 +15,10 @@
 use gannetproxy::proxy::listcache::ListCache;
 use gannetproxy::proxy::server::{self, Server};
 use gannetproxy::registry::{self, RegistryConfig};
+use gannetproxy::signals::{SIGHUP, SIGTERM, Signals};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 /// Descriptors kept for what is neither a client nor a backend.
@@ -46,7 +46,7 @@
 
 /// Where the configuration file now says that discovery is. A file that cannot be read, or makes no sense as while it is
 /// being replaced, is read again: the address until now will go silent.
-async fn read_moved_discovery(reload: &mut Signal) -> Vec<SocketAddr> {
+async fn read_moved_discovery(reload: &mut Signals) -> Vec<SocketAddr> {
     let [mut wait, most] = READ_AGAIN;
     loop {
         match Config::moved_discovery() {
@@ -55,7 +55,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(wait) => wait = (2 * wait).min(most),
-            _ = reload.recv() => [wait, _] = READ_AGAIN,
+            () = reload.recv() => [wait, _] = READ_AGAIN,
         }
     }
 }
@@ -69,8 +69,8 @@
         Ok(address) => Some(tokio::net::TcpListener::bind(&address).await?),
         Err(_) => None,
     };
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut stop = Signals::listen(SIGTERM)?;
+    let mut reload = Signals::listen(SIGHUP)?;
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
@@ -97,7 +97,8 @@
     }
     let moving = following.clone();
     tokio::task::spawn_local(async move {
-        while reload.recv().await.is_some() {
+        loop {
+            reload.recv().await;
             let addresses = read_moved_discovery(&mut reload).await;
             let named: Vec<String> = addresses.iter().map(ToString::to_string).collect();
             tracing::info!(addresses = named.join(","), "discovery has moved");
@@ -109,7 +110,7 @@
         }
     });
     let stopped = async move {
-        stop.recv().await.unwrap_or_default();
+        stop.recv().await;
         if let Some(following) = following {
             // What it has taken it serves detached, and its slot is free for another.
             tokio::task::spawn_local(async move { following.leave().await });
--- a/tests/crowded_discovery.rs
+++ b/tests/crowded_discovery.rs
@@ -228,3 +228,11 @@
     bench.event(Event::List(ListUpdate::Changes(&[])));
     assert!(used(&mut bench, 300).len() > 2, "with a list again");
 }
+
+#[test]
+fn a_process_that_has_heard_of_no_list_goes_by_the_answers_of_backends_too() {
+    let list: Vec<Entry> = (1..=6).map(entry).collect();
+    let mut bench = Bench::new(Settings { must_watch: true, ..safe() }, &list);
+    bench.run_to(bench.now + 5.0);
+    assert_eq!(used(&mut bench, 100).len(), 1, "the list that it starts on may be old");
+}
--- a/tests/fleet/system_calls.rs
+++ b/tests/fleet/system_calls.rs
@@ -191,3 +191,12 @@
     let lost = ends.iter().filter(|end| end.is_none()).count();
     assert_eq!(lost, 0, "reset or closed without an answer, of {LATE_CLIENTS}: {ends:?}");
 }
+
+/// The runtime's own handling of signals ends the process where the read of its pipe is interrupted.
+#[test]
+fn a_process_whose_reads_are_interrupted_takes_its_signals() {
+    let mut fixture = Fixture::start(&["recv=EINTR@0.5:0-600000", "peek=EINTR@0.5:0-600000"]);
+    fixture.proxy.signal(nix::sys::signal::Signal::SIGHUP);
+    fixture.proxy.signal(nix::sys::signal::Signal::SIGTERM);
+    assert_eq!(fixture.proxy.wait_exit(Duration::from_secs(10)), Some(true));
+}
