--- a/lab/src/soak/client.rs
+++ b/lab/src/soak/client.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// A connection that is kept: to which proxy, and since when it rests.
+type Kept = (usize, Conn, Instant);
+
 /// What all clients share.
 pub struct Clients {
     /// The front.
@@ -76,7 +79,7 @@
     /// One client, until all are over.
     pub async fn play(self: Rc<Self>, home: usize, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut kept: Option<(usize, Conn)> = None;
+        let mut kept: Option<Kept> = None;
         while !self.over.get() {
             tokio::time::sleep(Duration::from_millis(rng.random_range(1..=PAUSE_MS))).await;
             if self.manner.get() == Some(Manner::StopMidway) && rng.random_bool(0.1) {
@@ -99,13 +102,13 @@
     async fn one(
         &self,
         home: usize,
-        kept: Option<(usize, Conn)>,
+        kept: Option<Kept>,
         lane: Lane,
         rng: &mut SmallRng,
-    ) -> (bool, Option<(usize, Conn)>) {
-        let reused = kept.is_some();
+    ) -> (bool, Option<Kept>) {
+        let rested = kept.as_ref().map(|kept| kept.2.elapsed().as_secs_f64());
         let (proxy, mut conn) = match kept {
-            Some(kept) => kept,
+            Some((proxy, conn, _)) => (proxy, conn),
             None => match self.connect(home).await {
                 Some(new) => new,
                 None => {
@@ -148,12 +151,12 @@
         if end == End::Given {
             drop(conn);
             open(&self.ledger).left.push((id, Instant::now()));
-            self.note(Try { id, proxy, lane, sent, budget, reused, end, ended });
+            self.note(Try { id, proxy, lane, sent, budget, rested, end, ended });
             return (false, None);
         }
-        self.note(Try { id, proxy, lane, sent, budget, reused, end, ended });
+        self.note(Try { id, proxy, lane, sent, budget, rested, end, ended });
         let keeps = matches!(&read, Ok(Ok(answer)) if !answer.closes()) && !pipelined && conn.is_clean();
-        (end == End::Closed && reused, keeps.then_some((proxy, conn)))
+        (end == End::Closed && rested.is_some(), keeps.then_some((proxy, conn, ended)))
     }
 
     fn note(&self, one: Try) {
--- a/lab/src/soak/ledger.rs
+++ b/lab/src/soak/ledger.rs
@@ -60,8 +60,8 @@
     pub sent: Instant,
     /// The seconds that it was to wait.
     pub budget: f64,
-    /// It went on a connection that had carried others.
-    pub reused: bool,
+    /// How long the connection had rested, in seconds, where it had carried others.
+    pub rested: Option<f64>,
     /// How it ended,
     pub end: End,
     /// and when.
@@ -158,6 +158,8 @@
     pub unheard: Vec<Span>,
     /// Spans in which a proxy was held up.
     pub held_up: Vec<Span>,
+    /// Spans from a SIGTERM to the process's end.
+    pub stopped: Vec<Span>,
     /// Spans from a SIGKILL that nothing announced to the process's end.
     pub killed: Vec<Span>,
     /// Answers without a length that came whole, and of them those that reached their client.
--- a/lab/src/soak/oracle.rs
+++ b/lab/src/soak/oracle.rs
@@ -31,6 +31,8 @@
 const DEADLINE_SLACK: f64 = 0.15;
 /// An answer may come so long after its time.
 const LATE: f64 = 0.5;
+/// A proxy may close a connection that has rested for so long, less what its client's clock may be off.
+const IDLE_CLOSE: f64 = 1.8;
 /// A peer that sends no whole request is owed an end within this.
 const BAD_PEER: f64 = 3.0;
 /// A warm backend's capacity over the load that the play's backends bear in the mean.
@@ -114,9 +116,9 @@
             End::Answered { status: 200, .. } if !was_sent_on => "served, and no backend has seen it",
             End::Answered { .. } if took > allowed => "answered too late",
             End::Answered { .. } | End::Given | End::Unreachable => return None,
-            End::Closed if one.reused && !was_sent_on => return None,
+            End::Closed if !was_sent_on && self.may_have_crossed(one) => return None,
             End::Closed if was_sent_on => "closed with no answer after it was sent on",
-            End::Closed => "closed with no answer on a new connection",
+            End::Closed => "closed with no answer, on a connection that was not to be closed",
             End::Cut => "its answer broke off",
             End::Silent => "no answer in its time",
         };
@@ -130,6 +132,14 @@
         Some(Break { rule: "lost", what })
     }
 
+    /// Whether a close may have crossed a request on a kept connection: the proxy stopped, or it had rested for long.
+    fn may_have_crossed(&self, one: &Try) -> bool {
+        let of_proxy = |span: &&Span| span.proxy == one.proxy;
+        let mut stops = self.ledger.stopped.iter().filter(of_proxy);
+        let stops = stops.any(|span| span.from <= one.ended && span.to >= one.sent);
+        one.rested.is_some_and(|rested| stops || rested >= IDLE_CLOSE)
+    }
+
     fn run_twice(&self, arrivals: &[&Arrival]) -> Option<Break> {
         let id = arrivals.first()?.id;
         let may_have_run: Vec<&&Arrival> = arrivals.iter().filter(|arrival| !arrival.turned_away).collect();
--- a/lab/src/soak/play.rs
+++ b/lab/src/soak/play.rs
@@ -254,6 +254,7 @@
         self.takes(proxy, false);
         self.note_log(proxy, &process);
         process.kill();
+        open(&self.ledger).stopped.push(Span { proxy, from: told, to: Instant::now() });
         if ended == Some(false) {
             self.broken(format!("proxy {proxy} fails on SIGTERM"));
         }
