Evict the first list-service connection that becomes idle, one for each that waits

Callers saw: a node whose connections all had a call in progress served nobody new until a client closed, and at the limit some calls, first ones on new connections among them, ended with a close and no answer.

Cause: wait_for_capacity looked for an idle connection only when it began to wait; a notification left over from an earlier close made it evict a second one; it waited before it accepted, so it evicted for nobody; a new connection counted as idle before its first call; an evicted connection was dropped with its call or its answer half done.

Change: evictions are decided by how many wait and how many are about to close, whenever one begins to wait or becomes idle. An evicted connection is shut down gracefully.

--- a/src/registry/connections.rs
+++ b/src/registry/connections.rs
@@ -1,5 +1,9 @@
 //! The connections of a list-service node: how many there may be, and which idle one is closed for a new one. A peer
 //! that only keeps connections open must not keep proxies from their list.
+//!
+//! For each new connection that waits for capacity one idle connection is evicted: the one that has been idle longest
+//! or, where none is idle, the first that becomes so. An evicted connection on which a call has begun meanwhile answers
+//! that call before it is closed, and another is evicted in its place.
 
 use crate::os::descriptors;
 use std::cell::{Cell, RefCell};
@@ -16,19 +20,55 @@
 pub struct Connections {
     max: usize,
     open: Cell<usize>,
+    /// Open connections that have been notified of their eviction and have no call in progress.
+    evicted: Cell<usize>,
+    /// New connections that wait for capacity.
+    waiting: Cell<usize>,
     /// Grows with each connection that becomes idle, so that idle ones are ordered by when they did.
     last_idle_key: Cell<u64>,
-    /// Those without a call in progress, the longest idle first, each with what notifies it of its eviction.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Those that may be evicted, the longest idle first.
+    idle: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     closed: Notify,
 }
 
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Its first call may be on its way: it is not evicted yet.
+    AwaitingFirstCall,
+    /// A call is in progress.
+    Busy,
+    /// No call is in progress; its key among the idle ones.
+    Idle(u64),
+    /// It is to be closed for another.
+    Evicted,
+}
+
+struct ConnectionState {
+    phase: Cell<Phase>,
+    eviction: Notify,
+}
+
 /// One connection, counted for as long as it lives.
 pub struct Connection {
     connections: Rc<Connections>,
-    /// Its key among the idle ones, while it is idle.
-    idle_key: Cell<Option<u64>>,
-    evicted: Rc<Notify>,
+    state: Rc<ConnectionState>,
+}
+
+/// One new connection that waits for capacity, counted for as long as it waits.
+struct WaitingGuard<'a>(&'a Cell<usize>);
+
+impl<'a> WaitingGuard<'a> {
+    fn new(waiting: &'a Cell<usize>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting)
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Connections {
@@ -44,58 +84,101 @@
         Rc::new(Self {
             max,
             open: Cell::new(0),
+            evicted: Cell::new(0),
+            waiting: Cell::new(0),
             last_idle_key: Cell::new(0),
             idle: RefCell::default(),
             closed: Notify::new(),
         })
     }
 
-    /// Waits until there is capacity for one more connection; evicts the longest idle one where there is none.
+    /// Waits until there is capacity for one more connection; meanwhile one is evicted for it.
     pub async fn wait_for_capacity(&self) {
+        let _waiting = WaitingGuard::new(&self.waiting);
         while self.open.get() >= self.max {
-            if let Some((_, evicted)) = self.idle.borrow_mut().pop_first() {
-                evicted.notify_one();
-            }
+            self.evict_for_waiting();
             self.closed.notified().await;
         }
     }
 
     /// Counts a new connection, which is idle.
     pub fn open(self: &Rc<Self>) -> Rc<Connection> {
-        self.open.set(self.open.get() + 1);
-        let connection =
-            Connection { connections: self.clone(), idle_key: Cell::new(None), evicted: Rc::default() };
+        let connection = self.open_for_call();
         connection.set_idle();
-        Rc::new(connection)
+        connection
+    }
+
+    /// Counts a new connection whose first call may be on its way.
+    pub fn open_for_call(self: &Rc<Self>) -> Rc<Connection> {
+        self.open.set(self.open.get() + 1);
+        let state = ConnectionState { phase: Cell::new(Phase::AwaitingFirstCall), eviction: Notify::new() };
+        Rc::new(Connection { connections: self.clone(), state: Rc::new(state) })
+    }
+
+    /// Evicts idle connections, the longest idle first, until as many are about to close as are waited for.
+    fn evict_for_waiting(&self) {
+        while self.open.get() + self.waiting.get() > self.max + self.evicted.get() {
+            let Some((_, state)) = self.idle.borrow_mut().pop_first() else { return };
+            state.phase.set(Phase::Evicted);
+            self.evicted.set(self.evicted.get() + 1);
+            state.eviction.notify_one();
+        }
     }
 }
 
 impl Connection {
     /// A call is in progress from now on.
     pub fn set_busy(&self) {
-        if let Some(key) = self.idle_key.take() {
-            self.connections.idle.borrow_mut().remove(&key);
+        let was_evicted = self.leave_phase() == Phase::Evicted;
+        self.state.phase.set(Phase::Busy);
+        if was_evicted {
+            // It is closed only once it has answered, which may take as long as a watch.
+            self.connections.evict_for_waiting();
         }
     }
 
     /// No call is in progress any more.
     pub fn set_idle(&self) {
-        self.set_busy();
+        self.leave_phase();
         let key = self.connections.last_idle_key.get() + 1;
         self.connections.last_idle_key.set(key);
-        self.idle_key.set(Some(key));
-        self.connections.idle.borrow_mut().insert(key, self.evicted.clone());
+        self.state.phase.set(Phase::Idle(key));
+        self.connections.idle.borrow_mut().insert(key, self.state.clone());
+        self.connections.evict_for_waiting();
+    }
+
+    /// The first call was waited for long enough: without one the connection is idle.
+    pub fn stop_awaiting_first_call(&self) {
+        if self.state.phase.get() == Phase::AwaitingFirstCall {
+            self.set_idle();
+        }
+    }
+
+    /// Whether a call is in progress.
+    pub fn is_busy(&self) -> bool {
+        self.state.phase.get() == Phase::Busy
     }
 
     /// Waits until the connection is to be closed for another.
     pub async fn evicted(&self) {
-        self.evicted.notified().await;
+        self.state.eviction.notified().await;
+    }
+
+    /// Takes the connection out of the count of its phase; returns the phase, which the caller replaces.
+    fn leave_phase(&self) -> Phase {
+        let phase = self.state.phase.get();
+        match phase {
+            Phase::Idle(key) => drop(self.connections.idle.borrow_mut().remove(&key)),
+            Phase::Evicted => self.connections.evicted.set(self.connections.evicted.get() - 1),
+            Phase::AwaitingFirstCall | Phase::Busy => {}
+        }
+        phase
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.set_busy();
+        self.leave_phase();
         self.connections.open.set(self.connections.open.get() - 1);
         self.connections.closed.notify_one();
     }
--- a/src/registry/server.rs
+++ b/src/registry/server.rs
@@ -9,12 +9,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
 /// A connection on which no complete head of a call arrives for this long is closed. Callers come back on a new one.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a new connection is kept for its first call, which may be on its way.
+const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an evicted connection may take to write its last answer.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves one node until the process ends, or until the node finds that it may not take part. Writes
 /// `linkhatch-proxy: registry listening on ADDR` to standard error once it listens. Runs on the current thread's runtime
@@ -63,23 +68,19 @@
 /// Accepts connections for as long as the node lives.
 async fn accept(listener: TcpListener, api: Api, connections: Rc<Connections>) {
     loop {
-        connections.wait_for_capacity().await;
+        // Accepted before there is capacity, so that nothing is evicted while nobody waits.
         let (stream, _) = sockets::accept(&listener).await;
+        connections.wait_for_capacity().await;
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "TCP_NODELAY not set; small answers may be delayed");
         }
-        let (api, connection) = (api.clone(), connections.open());
-        tokio::task::spawn_local(async move {
-            tokio::select! {
-                () = serve_connection(stream, api, &connection) => {}
-                () = connection.evicted() => tracing::debug!("idle connection closed for a new one"),
-            }
-        });
+        let (api, connection) = (api.clone(), connections.open_for_call());
+        tokio::task::spawn_local(serve_connection(stream, api, connection));
     }
 }
 
-/// Answers the calls of one connection until it ends.
-async fn serve_connection(stream: TcpStream, api: Api, connection: &Rc<Connection>) {
+/// Answers the calls of one connection until it ends, or is evicted and has answered the call in progress.
+async fn serve_connection(stream: TcpStream, api: Api, connection: Rc<Connection>) {
     let service = service_fn(|request| {
         let (api, connection) = (api.clone(), connection.clone());
         async move {
@@ -91,7 +92,41 @@
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_READ_TIMEOUT);
-    if let Err(error) = http.serve_connection(TokioIo::new(Socket::new(stream)), service).await {
+    let mut http = pin!(http.serve_connection(TokioIo::new(Socket::new(stream)), service));
+    tokio::select! {
+        biased; // a call that has arrived is read before the connection is closed
+        ended = &mut http => return log_end(ended),
+        () = evicted(&connection) => tracing::debug!("closing a connection for a new one"),
+    }
+    http.as_mut().graceful_shutdown();
+    write_last_answer(http, &connection).await;
+}
+
+/// Waits until the connection is to be closed for another; it is kept for its first call for a while.
+async fn evicted(connection: &Connection) {
+    if tokio::time::timeout(FIRST_CALL_TIMEOUT, connection.evicted()).await.is_err() {
+        connection.stop_awaiting_first_call();
+        connection.evicted().await;
+    }
+}
+
+/// Lets the call in progress be answered, and the last answer be written within a time-out.
+async fn write_last_answer(
+    mut http: Pin<&mut impl Future<Output = Result<(), hyper::Error>>>,
+    connection: &Connection,
+) {
+    loop {
+        let was_busy = connection.is_busy();
+        match tokio::time::timeout(LAST_ANSWER_TIMEOUT, http.as_mut()).await {
+            Ok(ended) => return log_end(ended),
+            Err(_) if was_busy || connection.is_busy() => {}
+            Err(_) => return tracing::debug!("an evicted connection did not take its last answer"),
+        }
+    }
+}
+
+fn log_end(ended: Result<(), hyper::Error>) {
+    if let Err(error) = ended {
         tracing::debug!(%error, "connection ended");
     }
 }
--- a/tests/fleet/harness/program.rs
+++ b/tests/fleet/harness/program.rs
@@ -45,6 +45,18 @@
         Self::start(command)
     }
 
+    /// Starts a list-service node of `program` that may open `max_files` files; its configuration goes to `config_path`.
+    ///
+    /// # Panics
+    /// Where it does not start in time, with what it said.
+    pub fn node_with_max_files(program: &Path, config_path: &Path, config: &str, max_files: usize) -> Self {
+        std::fs::write(config_path, config).expect("a configuration file");
+        let mut command = Command::new("/bin/sh");
+        let script = format!("ulimit -n {max_files} && exec \"$0\" registry --config \"$1\"");
+        command.args(["-c", &script]).arg(program).arg(config_path);
+        Self::start(command)
+    }
+
     /// Starts a proxy of `program` with discovery at `discovery`; its configuration goes to `config_path`.
     ///
     /// # Panics
@@ -81,6 +93,15 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// How many files it has open.
+    ///
+    /// # Panics
+    /// Where the system does not tell.
+    pub fn open_files(&self) -> usize {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        files.expect("the process's files").count()
+    }
 }
 
 impl Drop for Service {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod harness;
 mod listing;
 mod liveness;
+mod node_connections;
 mod replicated;
 mod system_calls;
 mod telling;
--- /dev/null
+++ b/tests/fleet/node_connections.rs
@@ -0,0 +1,251 @@
+//! A list-service node at its limit of connections, with real sockets: new callers get in while all others watch, and
+//! an eviction that crosses a call costs nobody an answer.
+
+use crate::harness::http::{Conn, Message};
+use crate::harness::program::{Service, current_program};
+use crate::harness::registry::registration;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// Descriptors that a node reserves beside its connections.
+const RESERVED_DESCRIPTORS: usize = 96;
+/// The longest wait for one answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
+/// A TTL that does not run out during a test.
+const LONG_TTL_MS: u64 = 300_000;
+
+/// A node with capacity for `max_connections`.
+fn node(name: &str, max_connections: usize) -> Service {
+    let file = format!("node-{name}-{}.toml", std::process::id());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+    let max_files = max_connections + RESERVED_DESCRIPTORS;
+    Service::node_with_max_files(current_program(), &path, "listen = \"127.0.0.1:0\"\n", max_files)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+async fn connect(node: SocketAddr) -> Conn {
+    let stream = TcpStream::connect(node).await.expect("the system accepts the connection");
+    stream.set_nodelay(true).expect("a socket option");
+    Conn::new(stream)
+}
+
+/// How a call ended.
+#[derive(Debug)]
+enum CallEnd {
+    Answered(Message),
+    /// The connection was closed before the first byte of an answer.
+    Closed,
+    /// The connection was closed within an answer.
+    Truncated,
+}
+
+async fn exchange(connection: &mut Conn, method: &str, target: &str, body: &Value) -> CallEnd {
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let length = body.len();
+    let text = format!("{method} {target} HTTP/1.1\r\nHost: node\r\nContent-Length: {length}\r\n\r\n{body}");
+    if connection.write(text.as_bytes()).await.is_err() {
+        return CallEnd::Closed;
+    }
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, connection.read()).await;
+    match answer.expect("an answer or an end in time") {
+        Ok(answer) => CallEnd::Answered(answer),
+        Err(_) if connection.is_clean() => CallEnd::Closed,
+        Err(_) => CallEnd::Truncated,
+    }
+}
+
+/// Watches the list for `timeout` at a time; returns once each of `rounds` watches was answered, on a new connection
+/// after an answer that closes the last one.
+async fn watch(node: SocketAddr, rounds: &[Duration]) {
+    let mut connection = connect(node).await;
+    for timeout in rounds {
+        let target = format!("/api/targets?since=1000000&timeout_ms={}", timeout.as_millis());
+        let mut end = exchange(&mut connection, "GET", &target, &Value::Null).await;
+        if matches!(end, CallEnd::Closed) {
+            // Evicted between two calls: the second one was not read.
+            connection = connect(node).await;
+            end = exchange(&mut connection, "GET", &target, &Value::Null).await;
+        }
+        let CallEnd::Answered(answer) = end else { panic!("a watch without an answer: {end:?}") };
+        if answer.closes() {
+            connection = connect(node).await;
+        }
+    }
+}
+
+/// How many watches wait at the node.
+async fn watching(connection: &mut Conn) -> usize {
+    let end = exchange(connection, "GET", "/v1/status", &Value::Null).await;
+    let CallEnd::Answered(answer) = end else { panic!("no status: {end:?}") };
+    let status: Value = serde_json::from_slice(&answer.body).expect("a status");
+    status["watching"].as_u64().expect("a number") as usize
+}
+
+/// Calls that wait behind watches, each on a new connection; returns what each was answered, in the order of arrival.
+async fn call_in_order(
+    node: SocketAddr,
+    calls: usize,
+    target: &'static str,
+    body: fn(usize) -> Value,
+) -> Vec<Message> {
+    let mut callers = Vec::new();
+    for n in 0..calls {
+        let mut connection = connect(node).await;
+        let method = if body(n).is_null() { "GET" } else { "POST" };
+        callers.push(spawn_local(async move {
+            match exchange(&mut connection, method, target, &body(n)).await {
+                // It keeps its connection, as a caller that will call again.
+                CallEnd::Answered(answer) => (answer, connection),
+                end => panic!("call {n}: {end:?}"),
+            }
+        }));
+    }
+    let mut answers = Vec::new();
+    let mut kept_open = Vec::new();
+    for caller in callers {
+        let (answer, connection) = caller.await.expect("the call is answered");
+        answers.push(answer);
+        kept_open.push(connection);
+    }
+    answers
+}
+
+/// Guards against a node that serves nobody new until a client closes, once all its connections watch.
+#[test]
+fn callers_that_wait_get_in_in_order_as_watches_end() {
+    const WATCHERS: usize = 1_024;
+    const CALLERS: usize = 64;
+    /// Watches that end one after another, each making room for one caller.
+    const ENDING_WATCHES: usize = 100;
+    const FIRST_END: Duration = Duration::from_secs(3);
+    const END_INTERVAL: Duration = Duration::from_millis(10);
+    const LONG_WATCH: Duration = Duration::from_secs(6);
+    let node = node("full", WATCHERS + 1);
+    let at = node.address();
+    run(async move {
+        let mut watchers: Vec<JoinHandle<()>> = Vec::new();
+        let mut watch_twice = |first: Duration| {
+            watchers.push(spawn_local(async move { watch(at, &[first, LONG_WATCH]).await }));
+        };
+        (0..ENDING_WATCHES).for_each(|n| watch_twice(FIRST_END + END_INTERVAL * n as u32));
+        (ENDING_WATCHES..WATCHERS).for_each(|_| watch_twice(LONG_WATCH));
+        let mut last_connection = connect(at).await;
+        while watching(&mut last_connection).await < WATCHERS {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // With one more watch every connection is busy.
+        spawn_local(async move {
+            exchange(
+                &mut last_connection,
+                "GET",
+                "/api/targets?since=1000000&timeout_ms=20000",
+                &Value::Null,
+            )
+            .await;
+        });
+
+        let body = |n: usize| {
+            registration(&format!("waiting-{n}"), SocketAddr::from(([127, 0, 0, 1], 1)), LONG_TTL_MS)
+        };
+        let registered = call_in_order(at, CALLERS, "/v1/register", body).await;
+        let revision = |answer: &Message| {
+            assert_eq!(answer.status(), 200);
+            let reply: Value = serde_json::from_slice(&answer.body).expect("a reply");
+            reply["revision"].as_u64().expect("a revision")
+        };
+        let revisions: Vec<u64> = registered.iter().map(revision).collect();
+        assert!(revisions.is_sorted(), "served in the order of arrival: {revisions:?}");
+        // Callers that watch themselves need a watch's end each.
+        let watched =
+            call_in_order(at, CALLERS, "/api/targets?since=1000000&timeout_ms=1000", |_| Value::Null).await;
+        assert_eq!(watched.len(), CALLERS);
+        let files = node.open_files();
+        assert!(files <= WATCHERS + 1 + RESERVED_DESCRIPTORS, "{files} files are open");
+        for watcher in watchers {
+            watcher.await.expect("each watch is answered");
+        }
+    });
+}
+
+/// Guards against an eviction that closes a connection over a call that the node has taken.
+#[test]
+fn an_eviction_that_crosses_a_call_truncates_no_answer_and_loses_no_write_that_was_taken() {
+    const CAPACITY: usize = 16;
+    const CALLERS: u64 = 24;
+    const DURATION: Duration = Duration::from_secs(4);
+    let node = node("crossing", CAPACITY);
+    let at = node.address();
+    run(async move {
+        let answered = Rc::new(Cell::new(0usize));
+        let unanswered = Rc::new(RefCell::new(BTreeSet::new()));
+        let callers = (0..CALLERS).map(|caller| {
+            let (answered, unanswered) = (answered.clone(), unanswered.clone());
+            spawn_local(async move {
+                let mut random = SmallRng::seed_from_u64(caller);
+                let mut connection = connect(at).await;
+                let (deadline, mut is_first) = (Instant::now() + DURATION, true);
+                for n in 0.. {
+                    if Instant::now() > deadline {
+                        break;
+                    }
+                    let id = format!("c{caller}-{}", n % 40);
+                    let unique = format!("u{caller}-{n}");
+                    let body = registration(if n % 4 == 0 { &unique } else { &id }, at, LONG_TTL_MS);
+                    let end = match n % 2 {
+                        0 => exchange(&mut connection, "POST", "/v1/register", &body).await,
+                        _ => exchange(&mut connection, "GET", "/api/targets", &Value::Null).await,
+                    };
+                    let closes = match &end {
+                        CallEnd::Answered(answer) => {
+                            assert_eq!(answer.status(), 200);
+                            answered.set(answered.get() + 1);
+                            answer.closes()
+                        }
+                        CallEnd::Closed => {
+                            assert!(!is_first, "a first call was closed without an answer");
+                            if n % 4 == 0 {
+                                unanswered.borrow_mut().insert(unique);
+                            }
+                            true
+                        }
+                        CallEnd::Truncated => panic!("half an answer"),
+                    };
+                    is_first = closes;
+                    if closes {
+                        connection = connect(at).await;
+                    }
+                    tokio::time::sleep(Duration::from_micros(random.random_range(0..3_000))).await;
+                }
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            caller.await.expect("each call ends well");
+        }
+        let mut connection = connect(at).await;
+        let list = exchange(&mut connection, "GET", "/api/targets", &Value::Null).await;
+        let CallEnd::Answered(list) = list else { panic!("no list: {list:?}") };
+        let list: Value = serde_json::from_slice(&list.body).expect("a list");
+        let listed = list["instances"].as_array().expect("entries").iter();
+        let listed: BTreeSet<_> = listed.filter_map(|entry| entry["instanceId"].as_str()).collect();
+        let unanswered = unanswered.borrow();
+        let taken: Vec<_> = unanswered.iter().filter(|id| listed.contains(id.as_str())).collect();
+        eprintln!("{} calls answered, {} registrations closed over", answered.get(), unanswered.len());
+        assert!(taken.is_empty(), "taken, and closed without an answer: {taken:?}");
+        assert!(answered.get() > 1_000, "calls went on: {}", answered.get());
+    });
+}
