Let a preloaded rule make each sync take a drawn time, and give fleet tests a slow disk

The untraced entries of KNOWN-RED.txt came only on a busy machine.

tests/loads.rs proves that the rule delays a sync.

--- a/testbed/syscall-faults/src/interpose.rs
+++ b/testbed/syscall-faults/src/interpose.rs
@@ -331,24 +331,34 @@
     unsafe { open_at(directory, path, flags, mode) }
 }
 
+/// Waits for a time drawn between two, in milliseconds.
+fn wait_between(min_ms: u64, max_ms: u64) {
+    let drawn = plan().map_or(0.0, Plan::draw);
+    let nanoseconds = min_ms * MILLISECOND + (drawn * ((max_ms - min_ms) * MILLISECOND) as f64) as u64;
+    std::thread::sleep(std::time::Duration::from_nanos(nanoseconds));
+}
+
+/// Makes a file durable by this system call, unless a rule has it fail; a rule may have it take longer.
+fn sync_file(call: c_long, fd: c_int) -> c_int {
+    match outcome(Operation::Sync) {
+        Some(Outcome::Fails(error)) => return fail(error),
+        Some(Outcome::Delayed { min_ms, max_ms }) => wait_between(min_ms, max_ms),
+        _ => {}
+    }
+    // SAFETY: a system call whose only argument is a descriptor.
+    unsafe { libc::syscall(call, fd) as c_int }
+}
+
 /// # Safety
 /// As `fsync(2)`.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
-    if let Some(Outcome::Fails(error)) = outcome(Operation::Sync) {
-        return fail(error);
-    }
-    // SAFETY: the caller's own argument.
-    unsafe { libc::syscall(libc::SYS_fsync, fd) as c_int }
+    sync_file(libc::SYS_fsync, fd)
 }
 
 /// # Safety
 /// As `fdatasync(2)`.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
-    if let Some(Outcome::Fails(error)) = outcome(Operation::Sync) {
-        return fail(error);
-    }
-    // SAFETY: the caller's own argument.
-    unsafe { libc::syscall(libc::SYS_fdatasync, fd) as c_int }
+    sync_file(libc::SYS_fdatasync, fd)
 }
--- a/testbed/syscall-faults/src/rules.rs
+++ b/testbed/syscall-faults/src/rules.rs
@@ -43,6 +43,13 @@
     Shifted(i64),
     /// Half of the bytes are written, then the process is killed.
     Torn,
+    /// It takes longer, by a drawn time between these.
+    Delayed {
+        /// The shortest, in milliseconds.
+        min_ms: u64,
+        /// The longest, in milliseconds.
+        max_ms: u64,
+    },
 }
 
 /// One rule.
@@ -98,10 +105,20 @@
     }
 }
 
+/// Reads a delay, as `20..40ms`.
+fn parse_delay(text: &str) -> Option<Outcome> {
+    let (min, max) = text.strip_suffix("ms")?.split_once("..")?;
+    let (min_ms, max_ms) = (min.parse().ok()?, max.parse().ok()?);
+    (min_ms <= max_ms).then_some(Outcome::Delayed { min_ms, max_ms })
+}
+
 impl FromStr for Outcome {
     type Err = ();
 
     fn from_str(text: &str) -> Result<Self, ()> {
+        if let Some(delay) = parse_delay(text) {
+            return Ok(delay);
+        }
         let error = ERRORS.iter().find(|(name, _)| *name == text);
         match (text, error) {
             (_, Some((_, number))) => Ok(Self::Fails(*number)),
--- a/testbed/syscall-faults/tests/loads.rs
+++ b/testbed/syscall-faults/tests/loads.rs
@@ -4,7 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Set in the child.
 const CHILD: &str = "FLEETLAB_SHIM_CHILD";
@@ -44,6 +44,35 @@
     println!("unix {}", SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_secs());
 }
 
+/// Not a test of its own: prints how long a sync takes.
+#[test]
+#[ignore = "run as a child by a_sync_takes_as_long_as_its_rule_says"]
+fn syncing_child() {
+    if std::env::var_os(CHILD).is_none() {
+        return;
+    }
+    let path = std::env::temp_dir().join(format!("fleet-testbed-slow-sync-{}", std::process::id()));
+    let file = std::fs::File::create(&path).expect("open is left alone");
+    let started_at = Instant::now();
+    file.sync_data().expect("it succeeds, late");
+    std::fs::remove_file(&path).unwrap();
+    println!("synced in {}", started_at.elapsed().as_millis());
+}
+
+#[test]
+fn a_sync_takes_as_long_as_its_rule_says() {
+    let child = Command::new(std::env::current_exe().unwrap())
+        .args(["--ignored", "--exact", "syncing_child", "--nocapture"])
+        .env(CHILD, "1")
+        .env("LD_PRELOAD", library())
+        .env("FLEETLAB_SHIM_RULES", "sync=300..400ms@1:0-600000")
+        .output()
+        .expect("the child runs");
+    let text = String::from_utf8_lossy(&child.stdout);
+    let taken = text.lines().find_map(|l| l.split("synced in ").nth(1)?.trim().parse::<u64>().ok());
+    assert!(taken.is_some_and(|ms| ms >= 300), "{text}");
+}
+
 #[test]
 fn calls_that_should_fail_do_and_others_do_not() {
     let counts =
--- a/tests/fleet/harness/mod.rs
+++ b/tests/fleet/harness/mod.rs
@@ -15,17 +15,30 @@
 
 pub use fleet_testbed::{cluster, fake as backend, http, links as relay, process};
 
+use fleet_testbed::syscall_faults::SyscallFaults;
 use process::Fleet;
 use std::path::Path;
 use std::time::Duration;
 
+/// Rules of `testbed/syscall-faults`, separated by semicolons, for every process of a run of the tests, as
+/// `sync=100..200ms@1:0-600000` for a slow disk. A test that makes rules of its own replaces them.
+const FAULTS_VARIABLE: &str = "FLEET_SYSCALL_FAULTS";
+/// The seed of their draws.
+const FAULTS_SEED_VARIABLE: &str = "FLEET_SYSCALL_FAULTS_SEED";
+
 /// A fleet of the program under test, all of it SIGKILLed at `deadline` from now at the latest.
 pub fn fleet(deadline: Duration) -> Fleet {
-    Fleet::new(
+    let mut fleet = Fleet::new(
         Path::new(env!("CARGO_BIN_EXE_linkhatch-proxy")),
         Path::new(env!("CARGO_TARGET_TMPDIR")),
         deadline,
-    )
+    );
+    if let Ok(rules) = std::env::var(FAULTS_VARIABLE) {
+        let seed = std::env::var(FAULTS_SEED_VARIABLE).ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+        let faults = SyscallFaults { rules: vec![rules], seed, ..SyscallFaults::default() };
+        fleet.set_environment(faults.environment());
+    }
+    fleet
 }
 
 use serde_json::{Value, json};
