Let the list service's nodes sync at the same time, and writers share a sync

Callers saw: on a slow disk a registration took two syncs, writers held each other up at one write a sync, and with syncs over the heartbeat interval nearly all writes ended in 503.

Cause: openraft's core waits for each append until the storage calls it flushed, and the log did so after the sync. So the leader synced before it called its followers, each write had a sync of its own, and heartbeats, votes and other calls waited behind syncs. The entries of one call went to the writer one by one, so it began to sync with the first alone.

Change: an append ends when its entries are queued; acknowledgements wait for the sync: a follower answers for what is durable in its log, and a leader takes an answer for no more than what is durable in its own. A node with peers stores its vote as one by which it does not lead, since a restarted leader may lack entries it sent. A leader whose log waits for a sync longer than an election timeout makes no calls. A sole voter syncs as before.

New at info: each vote made durable, with how long it took.

--- a/src/registry/api/cluster.rs
+++ b/src/registry/api/cluster.rs
@@ -87,10 +87,12 @@
     if call == "vote" && !state.node.may_vote() {
         return Err(RequestError::MayNotVote);
     }
-    let answer = network::handle_call(raft, call, &body).await.map_err(|error| match error {
-        CallError::Status(_) => RequestError::UnknownCall(format!("{RAFT_PREFIX}{call}")),
-        error => RequestError::RaftCall(error),
-    })?;
+    let answer = network::handle_call(raft, state.node.durable_log(), call, &body).await.map_err(
+        |error| match error {
+            CallError::Status(_) => RequestError::UnknownCall(format!("{RAFT_PREFIX}{call}")),
+            error => RequestError::RaftCall(error),
+        },
+    )?;
     if call == "append" {
         state.node.record_leader_contact();
     }
--- a/src/registry/node/mod.rs
+++ b/src/registry/node/mod.rs
@@ -29,7 +29,7 @@
 use super::liveness::Liveness;
 use super::raft::disk_error::DiskError;
 use super::raft::log::{Log, Recovery};
-use super::raft::network::Network;
+use super::raft::network::{DurableLog, Network};
 use super::raft::quorum_lease::QuorumLease;
 use super::raft::state_machine::{StateMachine, StoreHandle};
 use super::raft::{NodeId, Raft};
@@ -45,6 +45,9 @@
 const CLOCK_SLACK: Duration = Duration::from_millis(400);
 /// What the monotonic clock shows at the start, in seconds: enough that a fault test can set it back.
 const CLOCK_START_S: f64 = 1e9;
+/// An acknowledgement of entries waits for their sync for this part of the heartbeat interval, in which the leader's call
+/// ends: the follower's and the leader's wait and the way between them fit into it.
+const SYNC_PATIENCE_DIVISOR: u32 = 4;
 /// The wait between two attempts of what needs a leader or other nodes.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -83,6 +86,7 @@
     id: NodeId,
     raft: Raft,
     log: Log,
+    durable_log: DurableLog,
     store: StoreHandle,
     peers: Arc<BTreeMap<NodeId, SocketAddr>>,
     /// Whether it joins a cluster that has forgotten it, rather than found one.
@@ -119,7 +123,21 @@
         let peers: Arc<BTreeMap<_, _>> =
             Arc::new(config.peers.iter().map(|peer| (peer.node, peer.address)).collect());
         let quorum_lease = QuorumLease::default();
-        let network = Network { peers: peers.clone(), node: config.node, quorum_lease: quorum_lease.clone() };
+        let election_timeout = Duration::from_millis(config.election_ms[1]);
+        let durable_log = DurableLog {
+            log: log.clone(),
+            patience: Duration::from_millis(config.heartbeat_ms) / SYNC_PATIENCE_DIVISOR,
+            max_leader_stall: election_timeout,
+        };
+        if !config.peers.is_empty() {
+            log.prepare_replication(state_machine.membership());
+        }
+        let network = Network {
+            peers: peers.clone(),
+            node: config.node,
+            quorum_lease: quorum_lease.clone(),
+            durable_log: durable_log.clone(),
+        };
         let raft_config = Arc::new(raft_config::raft_config(config)?);
         let raft = Raft::new(config.node, raft_config, network, log.clone(), state_machine)
             .await
@@ -129,12 +147,13 @@
             id: config.node,
             raft,
             log,
+            durable_log,
             store,
             peers,
             join: config.join,
             admitted: Cell::new(false),
             may_vote: Cell::new(false),
-            election_timeout: Duration::from_millis(config.election_ms[1]),
+            election_timeout,
             quorum_lease,
             liveness: RefCell::default(),
             clock: RefCell::new(LogClock::new(Duration::from_secs_f64(CLOCK_START_S), max_clock_step)),
@@ -165,6 +184,11 @@
         self.admitted.get().then_some(&self.raft)
     }
 
+    /// How this node acknowledges appended entries.
+    pub fn durable_log(&self) -> &DurableLog {
+        &self.durable_log
+    }
+
     /// Whether this node may vote.
     pub fn may_vote(&self) -> bool {
         self.may_vote.get()
--- a/src/registry/raft/log/mod.rs
+++ b/src/registry/raft/log/mod.rs
@@ -1,14 +1,28 @@
 //! A node's Raft log and vote, in memory and, with a data directory, on disk.
 //!
 //! Files in the data directory:
-//! - `raft.log` (`record`): framed records in the order in which Raft made them. Entries are acknowledged once they are
-//!   fsynced; all that waits while one fsync runs is written together by the next. When most of the file is dead (purged
-//!   behind a snapshot or truncated), it is rewritten under another name, fsynced and renamed, as the next generation.
+//! - `raft.log` (`record`): framed records in the order in which Raft made them. All that waits while one fsync runs is
+//!   written together by the next. When most of the file is dead (purged behind a snapshot or truncated), it is rewritten
+//!   under another name, fsynced and renamed, as the next generation.
 //! - `raft.mark` (`mark`): after each fsync, the log's generation and durable length, and the last commit known.
 //!
 //! `writer` owns both files, on a thread of its own, and rewrites the log after a disk error. `recovery` reads them
 //! at the start of the node. `state` is the log's content in memory, and `storage` implements Raft's storage traits.
+//!
+//! # When an entry is acknowledged
+//! Raft's core waits for each append that it makes, and takes no call meanwhile: no heartbeat, no vote, no other write.
+//! Where the cluster has several voters an append therefore ends once the entries are queued for the file, and every
+//! acknowledgement waits for the sync instead ([`Log::acknowledge`], by `durability`):
+//! - a follower answers the leader's call with what is durable in its own log;
+//! - the leader takes a follower's answer for no more than what is durable in its own log.
+//!
+//! So an entry is committed, and applied, once it is durable on the leader and on as many followers as make a quorum with
+//! it. A leader that is restarted may have lost entries that it has sent under its term, and must not make others of the same
+//! places: it is not the leader any more ([`Log::prepare_replication`]). The log of a sole voter, whose own copy is the quorum, ends an
+//! append with the sync.
 
+mod acknowledgement;
+mod durability;
 mod mark;
 mod record;
 mod recovery;
@@ -17,14 +31,19 @@
 mod writer;
 
 use super::disk_error::DiskError;
-use super::{LogId, NodeId, TypeConfig};
+use super::{Entry, LogId, Membership, NodeId, TypeConfig, Vote};
+pub use acknowledgement::AppendRange;
+use durability::Durability;
+use openraft::EntryPayload;
 use openraft::storage::LogFlushed;
 use record::Record;
 use state::PersistedState;
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use writer::Job;
 
@@ -44,8 +63,13 @@
 
 /// Who is notified once a write is durable.
 enum Completion {
-    /// Raft, of appended entries.
-    Raft(LogFlushed<TypeConfig>),
+    /// Those who wait for appended entries, and Raft where the append ends with the sync.
+    Entries {
+        durability: Durability,
+        /// The last one's place among all entries queued.
+        last_sequence: u64,
+        raft: Option<LogFlushed<TypeConfig>>,
+    },
     /// A task that waits.
     Waiter(oneshot::Sender<io::Result<()>>),
     /// Nobody.
@@ -55,7 +79,14 @@
 impl Completion {
     fn notify(self, result: io::Result<()>) {
         match self {
-            Self::Raft(callback) => callback.log_io_completed(result),
+            Self::Entries { durability, last_sequence, raft } => {
+                if result.is_ok() {
+                    durability.synced(last_sequence);
+                }
+                if let Some(callback) = raft {
+                    callback.log_io_completed(result);
+                }
+            }
             // The task that waited may have been dropped.
             Self::Waiter(waiter) => drop(waiter.send(result)),
             Self::None => {}
@@ -78,12 +109,28 @@
     /// To the writer thread; `None` where the log is in memory only.
     jobs: Option<Sender<Job>>,
     owner: Owner,
+    durability: Durability,
+    /// Whether this node has peers.
+    is_replicated: Arc<AtomicBool>,
+    /// Whether the cluster has several voters, as the latest membership says that this log was told of.
+    has_several_voters: Arc<AtomicBool>,
 }
 
 fn lock(state: &Mutex<PersistedState>) -> MutexGuard<'_, PersistedState> {
     state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Which members vote.
+type Members = openraft::Membership<NodeId, openraft::EmptyNode>;
+
+/// The members that an entry sets, if it does.
+fn membership_of(entry: &Entry) -> Option<&Members> {
+    match &entry.payload {
+        EntryPayload::Membership(members) => Some(members),
+        EntryPayload::Blank | EntryPayload::Normal(_) => None,
+    }
+}
+
 fn writer_ended() -> io::Error {
     io::Error::other("the log's writer has ended")
 }
@@ -91,7 +138,18 @@
 impl Log {
     /// Makes a log in memory only, for a node without peers.
     pub fn in_memory(node: NodeId) -> Self {
-        Self { state: Arc::default(), jobs: None, owner: Owner { node, incarnation: 0 } }
+        Self::new(Arc::default(), None, Owner { node, incarnation: 0 })
+    }
+
+    fn new(state: Arc<Mutex<PersistedState>>, jobs: Option<Sender<Job>>, owner: Owner) -> Self {
+        Self {
+            state,
+            jobs,
+            owner,
+            durability: Durability::default(),
+            is_replicated: Arc::default(),
+            has_several_voters: Arc::default(),
+        }
     }
 
     /// Opens (or creates) the log of `node` in `dir`.
@@ -114,27 +172,63 @@
         state.last_log_id().is_none() && state.vote.is_none()
     }
 
+    /// Prepares the log of a node with peers, before Raft reads it: the node does not lead by a vote from before its start,
+    /// and its members are those of the latest entry on them, or else of the snapshot.
+    pub fn prepare_replication(&self, in_snapshot: &Membership) {
+        self.is_replicated.store(true, Ordering::SeqCst);
+        let mut state = lock(&self.state);
+        state.vote = state.vote.map(|vote| self.vote_to_store(vote));
+        let in_log = state.entries.values().rev().find_map(membership_of);
+        self.set_membership(in_log.unwrap_or(in_snapshot.membership()));
+    }
+
+    /// A vote as it is stored: a node with peers never leads by its own vote after a restart, whichever build it restarts
+    /// with, as it may have lost entries that it sent while it led.
+    fn vote_to_store(&self, mut vote: Vote) -> Vote {
+        if self.is_replicated.load(Ordering::SeqCst) && vote.leader_id.node_id == self.owner.node {
+            vote.committed = false;
+        }
+        vote
+    }
+
+    /// Takes in which members vote from here on: with several, an append does not wait for its sync.
+    fn set_membership(&self, membership: &Members) {
+        // In a joint configuration each part needs a quorum of its own.
+        let parts = membership.get_joint_config();
+        let has_several = !parts.is_empty() && parts.iter().all(|voters| voters.len() > 1);
+        self.has_several_voters.store(has_several && self.jobs.is_some(), Ordering::SeqCst);
+    }
+
+    /// For how long the entry that waits longest for its sync has waited.
+    pub fn sync_pending_for(&self) -> Duration {
+        self.durability.pending_for()
+    }
+
     /// The last entry that is in the snapshot only.
     pub fn purged(&self) -> Option<LogId> {
         lock(&self.state).purged
     }
 
-    /// Applies a record to the state and queues it for the file.
-    fn write(&self, record: Record, completion: Completion) -> io::Result<()> {
+    /// Applies records to the state and queues them for the file as one job, so that one fsync makes them durable.
+    fn write(&self, records: Vec<Record>, completion: Completion) -> io::Result<()> {
         let mut bytes = Vec::new();
-        record.append_to(&mut bytes)?;
+        for record in &records {
+            record.append_to(&mut bytes)?;
+        }
         // Queued under the lock: the writer holds it to rewrite the log, and then finds in the queue everything that is
         // in the state.
         let mut state = lock(&self.state);
-        state.apply(record).map_err(io::Error::other)?;
-        state.record_count += 1;
+        for record in records {
+            state.apply(record).map_err(io::Error::other)?;
+            state.record_count += 1;
+        }
         self.send(Job::Write(bytes, completion))
     }
 
     /// Writes a record and waits until it is durable.
     async fn write_durably(&self, record: Record) -> io::Result<()> {
         let (sender, receiver) = oneshot::channel();
-        self.write(record, Completion::Waiter(sender))?;
+        self.write(vec![record], Completion::Waiter(sender))?;
         receiver.await.unwrap_or_else(|_| Err(writer_ended()))
     }
 
--- a/src/registry/raft/log/recovery.rs
+++ b/src/registry/raft/log/recovery.rs
@@ -136,5 +136,5 @@
     log_files.write_mark().map_err(DiskError::io(&mark::path(dir)))?;
     let state = Arc::new(Mutex::new(state));
     let jobs = Writer::spawn(log_files, state.clone(), owner);
-    Ok((Log { state, jobs: Some(jobs), owner }, recovery))
+    Ok((Log::new(state, Some(jobs), owner), recovery))
 }
--- a/src/registry/raft/log/storage.rs
+++ b/src/registry/raft/log/storage.rs
@@ -3,10 +3,12 @@
 use super::super::{Entry, LogId, StorageError, TypeConfig, Vote};
 use super::record::Record;
 use super::writer::Job;
-use super::{Completion, Log, lock};
+use super::{Completion, Log, lock, membership_of};
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage};
 use openraft::{OptionalSend, RaftLogReader, StorageIOError};
 use std::ops::RangeBounds;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 impl RaftLogReader<TypeConfig> for Log {
     async fn try_get_log_entries<RB: RangeBounds<u64> + Clone + std::fmt::Debug + OptionalSend>(
@@ -30,7 +32,13 @@
     }
 
     async fn save_vote(&mut self, vote: &Vote) -> Result<(), StorageError> {
-        Ok(self.write_durably(Record::Vote(*vote)).await.map_err(|e| StorageIOError::write_vote(&e))?)
+        let started_at = Instant::now();
+        let record = Record::Vote(self.vote_to_store(*vote));
+        self.write_durably(record).await.map_err(|e| StorageIOError::write_vote(&e))?;
+        let (term, voted_for, committed) = (vote.leader_id.term, vote.leader_id.node_id, vote.committed);
+        let elapsed_ms = started_at.elapsed().as_millis() as u64;
+        tracing::info!(node = self.owner.node, term, voted_for, committed, elapsed_ms, "vote made durable");
+        Ok(())
     }
 
     async fn read_vote(&mut self) -> Result<Option<Vote>, StorageError> {
@@ -54,21 +62,33 @@
         I: IntoIterator<Item = Entry> + OptionalSend,
         I::IntoIter: OptionalSend,
     {
-        // Jobs are done in order, so all entries are durable once the empty job that carries the callback is done.
-        for entry in entries {
-            self.write(Record::Entry(entry), Completion::None).map_err(|e| StorageIOError::write_logs(&e))?;
+        let entries: Vec<Entry> = entries.into_iter().collect();
+        let membership = entries.iter().rev().find_map(membership_of);
+        membership.into_iter().for_each(|membership| self.set_membership(membership));
+        // With several voters Raft goes on at once, and acknowledgements wait for the sync.
+        let (at_once, with_sync) = match self.has_several_voters.load(Ordering::SeqCst) {
+            true => (Some(callback), None),
+            false => (None, Some(callback)),
+        };
+        let durability = self.durability.clone();
+        let last_sequence = durability.queued(entries.iter().map(|entry| entry.log_id.index));
+        let records = entries.into_iter().map(Record::Entry).collect();
+        let completion = Completion::Entries { durability, last_sequence, raft: with_sync };
+        self.write(records, completion).map_err(|e| StorageIOError::write_logs(&e))?;
+        if let Some(callback) = at_once {
+            callback.log_io_completed(Ok(()));
         }
-        let sent = self.send(Job::Write(Vec::new(), Completion::Raft(callback)));
-        Ok(sent.map_err(|e| StorageIOError::write_logs(&e))?)
+        Ok(())
     }
 
     async fn truncate(&mut self, log_id: LogId) -> Result<(), StorageError> {
+        self.durability.truncated(log_id.index);
         let written = self.write_durably(Record::Truncate(log_id.index)).await;
         Ok(written.map_err(|e| StorageIOError::write_logs(&e))?)
     }
 
     async fn purge(&mut self, log_id: LogId) -> Result<(), StorageError> {
-        let written = self.write(Record::Purge(log_id), Completion::None).and_then(|()| self.compact());
+        let written = self.write(vec![Record::Purge(log_id)], Completion::None).and_then(|()| self.compact());
         Ok(written.map_err(|e| StorageIOError::write_logs(&e))?)
     }
 }
--- a/src/registry/raft/network.rs
+++ b/src/registry/raft/network.rs
@@ -1,6 +1,7 @@
 //! Calls between list-service nodes: Raft's requests as JSON by `POST /raft/…` over HTTP/1.1, on the port that serves the
 //! API.
 
+use super::log::{AppendRange, Log};
 use super::quorum_lease::QuorumLease;
 use super::{NodeId, Raft, TypeConfig};
 use crate::http_client::{CallError, HttpClient, post_json};
@@ -28,6 +29,17 @@
 /// The wait before a peer that could not be reached is called again.
 const PEER_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How a node acknowledges appended entries: by what is durable in its log.
+#[derive(Clone)]
+pub struct DurableLog {
+    /// The node's log.
+    pub log: Log,
+    /// How long an acknowledgement waits for a sync before it covers what is durable by then.
+    pub patience: Duration,
+    /// A leader whose log waits longer for a sync calls no other node, so that another leads.
+    pub max_leader_stall: Duration,
+}
+
 /// Makes the clients by which one node's Raft calls the other nodes.
 pub struct Network {
     /// The address of each other node, as this one reaches it.
@@ -36,6 +48,8 @@
     pub node: NodeId,
     /// Records which calls of this node as the leader others have acknowledged.
     pub quorum_lease: QuorumLease,
+    /// This node's log.
+    pub durable_log: DurableLog,
 }
 
 impl RaftNetworkFactory<TypeConfig> for Network {
@@ -47,6 +61,7 @@
             target,
             client: self.peers.get(&target).copied().map(HttpClient::new),
             quorum_lease: self.quorum_lease.clone(),
+            durable_log: self.durable_log.clone(),
         }
     }
 }
@@ -58,6 +73,7 @@
     /// `None` where the configuration does not name the node.
     client: Option<HttpClient>,
     quorum_lease: QuorumLease,
+    durable_log: DurableLog,
 }
 
 /// Why one of Raft's calls failed; `E` is what the other node may answer.
@@ -105,12 +121,27 @@
         request: AppendEntriesRequest<TypeConfig>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<NodeId>, CallFailure<Infallible>> {
+        let DurableLog { log, patience, max_leader_stall } = self.durable_log.clone();
+        if log.sync_pending_for() > max_leader_stall {
+            return Err(unreachable(CallError::Timeout));
+        }
         let (term, sent_at) = (request.vote.leader_id().term, Instant::now());
         let reply = self.call(RPCTypes::AppendEntries, "/raft/append", &request, &option).await?;
         if !matches!(reply, AppendEntriesResponse::HigherVote(_)) {
             self.quorum_lease.acknowledge(self.target, term, sent_at);
         }
-        Ok(reply)
+        let acknowledged = match reply {
+            AppendEntriesResponse::Success => AppendRange::of(&request),
+            AppendEntriesResponse::PartialSuccess(last) => {
+                AppendRange { previous: request.prev_log_id, last }
+            }
+            AppendEntriesResponse::Conflict | AppendEntriesResponse::HigherVote(_) => return Ok(reply),
+        };
+        match (log.acknowledge(acknowledged, patience).await, reply) {
+            (Some(AppendEntriesResponse::Success), reply) => Ok(reply),
+            (Some(partial), _) => Ok(partial),
+            (None, _) => Err(unreachable(CallError::Timeout)),
+        }
     }
 
     async fn install_snapshot(
@@ -137,10 +168,27 @@
 /// Handles a call of another node's Raft, by the last part of its path; returns the body of the reply.
 ///
 /// # Errors
-/// `Json` where the body is not a request of that call, `Status` where there is no such call.
-pub async fn handle_call(raft: &Raft, call: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
+/// `Json` where the body is not a request of that call, `Status` where there is no such call, `Timeout` where the entries
+/// could not be made durable.
+pub async fn handle_call(
+    raft: &Raft,
+    durable_log: &DurableLog,
+    call: &str,
+    body: &[u8],
+) -> Result<Vec<u8>, CallError> {
     Ok(match call {
-        "append" => serde_json::to_vec(&raft.append_entries(serde_json::from_slice(body)?).await)?,
+        "append" => {
+            let request: AppendEntriesRequest<TypeConfig> = serde_json::from_slice(body)?;
+            let range = AppendRange::of(&request);
+            let reply = match raft.append_entries(request).await {
+                Ok(AppendEntriesResponse::Success) => {
+                    let acknowledged = durable_log.log.acknowledge(range, durable_log.patience).await;
+                    Ok(acknowledged.ok_or(CallError::Timeout)?)
+                }
+                reply => reply,
+            };
+            serde_json::to_vec(&reply)?
+        }
         "vote" => serde_json::to_vec(&raft.vote(serde_json::from_slice(body)?).await)?,
         "snapshot" => serde_json::to_vec(&raft.install_snapshot(serde_json::from_slice(body)?).await)?,
         _ => return Err(CallError::Status(StatusCode::NOT_FOUND)),
--- a/src/registry/raft/state_machine.rs
+++ b/src/registry/raft/state_machine.rs
@@ -99,6 +99,11 @@
         self.store.clone()
     }
 
+    /// The members, as of the last entry applied.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
     /// The result of an entry that holds no command.
     fn unchanged(&self) -> Result<Applied, StoreError> {
         Ok(Applied { revision: self.store.lock().revision(), token: None, done: CommandOutcome::Nothing })
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod liveness;
 mod node_connections;
 mod replicated;
+mod slow_disk;
 mod system_calls;
 mod telling;
 mod upgrade;
--- /dev/null
+++ b/tests/fleet/slow_disk.rs
@@ -0,0 +1,142 @@
+//! A list service whose disks are slow: writers share syncs, the nodes sync at the same time, and a leader whose disk
+//! stalls is replaced. Nothing that was acknowledged is lost.
+
+use crate::harness;
+use crate::harness::cluster::Cluster;
+use crate::harness::process::Fleet;
+use crate::replicated::{Writers, listed, register};
+use fleet_testbed::syscall_faults::SyscallFaults;
+use nix::time::{ClockId, clock_gettime};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const FLEET_DEADLINE: Duration = Duration::from_secs(60);
+const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The environment in which each sync takes `sync`.
+fn slow_syncs(sync: Duration) -> Vec<(String, String)> {
+    let ms = sync.as_millis();
+    let rules = vec![format!("sync={ms}..{ms}ms@1:0-600000")];
+    SyscallFaults { rules, seed: 1, ..SyscallFaults::default() }.environment()
+}
+
+/// Registers by `writers` writers at once at the leader for `duration`; what was acknowledged, with its revisions.
+fn write_for(cluster: &Cluster, writers: usize, duration: Duration) -> BTreeMap<String, u64> {
+    let leader = cluster.front(cluster.leader());
+    let running = Writers::start(&[leader], writers, Duration::ZERO);
+    std::thread::sleep(duration);
+    running.end().0
+}
+
+/// Asserts that every node lists what was acknowledged.
+fn assert_listed(cluster: &Cluster, acknowledged: &BTreeMap<String, u64>) {
+    cluster.agreed(acknowledged.values().copied().max().unwrap_or(1), AGREEMENT_TIMEOUT);
+    for n in 0..cluster.size() {
+        let list = listed(cluster.front(n)).1;
+        let lost: Vec<_> = acknowledged.keys().filter(|id| !list.contains(*id)).collect();
+        assert!(lost.is_empty(), "acknowledged and not listed by node {n}: {lost:?}");
+    }
+}
+
+/// Guards against syncs one after the other: a write that waits for the leader's and then for a follower's.
+#[test]
+fn a_write_takes_little_more_than_one_sync() {
+    const SYNC: Duration = Duration::from_millis(50);
+    const WRITES: usize = 30;
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    fleet.set_environment(slow_syncs(SYNC));
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let leader = cluster.front(cluster.leader());
+    register(leader, "first", 0).expect("acknowledged");
+    let mut latencies = Vec::new();
+    for n in 0..WRITES {
+        let started_at = Instant::now();
+        register(leader, &format!("w-{n}"), n).expect("acknowledged");
+        latencies.push(started_at.elapsed());
+    }
+    latencies.sort();
+    let median = latencies[WRITES / 2];
+    eprintln!("a write at syncs of {SYNC:?}: median {median:?}");
+    assert!(median >= SYNC, "acknowledged before it was durable: {median:?}");
+    assert!(median < SYNC.mul_f64(1.3), "{median:?}");
+    fleet.check_deadline();
+}
+
+/// Guards against a sync for each write: writers that wait at the same time share one.
+#[test]
+fn writers_that_wait_together_share_a_sync() {
+    const SYNC: Duration = Duration::from_millis(50);
+    const WRITERS: usize = 64;
+    const DURATION: Duration = Duration::from_secs(3);
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    fleet.set_environment(slow_syncs(SYNC));
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let acknowledged = write_for(&cluster, WRITERS, DURATION);
+    let syncs = DURATION.div_duration_f64(SYNC);
+    let per_sync = acknowledged.len() as f64 / syncs;
+    eprintln!("{WRITERS} writers at syncs of {SYNC:?}: {per_sync:.1} writes a sync");
+    assert!(per_sync > WRITERS as f64 / 4.0, "{per_sync} writes a sync");
+    assert_listed(&cluster, &acknowledged);
+    fleet.check_deadline();
+}
+
+/// Starts three nodes of which each has one stall of its disk, `interval` after the one before; returns when the first
+/// begins.
+fn cluster_with_stalls(fleet: &mut Fleet, stall: Duration, interval: Duration) -> (Cluster, Instant) {
+    /// A sync that begins in this time is the one that stalls.
+    const WINDOW: Duration = Duration::from_millis(100);
+    const FIRST_STALL: Duration = Duration::from_secs(5);
+    let mut cluster = Cluster::start(fleet, 3, "");
+    let now = clock_gettime(ClockId::CLOCK_MONOTONIC).expect("the monotonic clock");
+    let epoch_ns = Some(now.tv_sec() as u64 * 1_000_000_000 + now.tv_nsec() as u64);
+    let epoch = Instant::now();
+    for n in 0..3 {
+        let from = (FIRST_STALL + interval * n as u32).as_millis();
+        let (to, ms) = (from + WINDOW.as_millis(), stall.as_millis());
+        let rules = vec![format!("sync={ms}..{ms}ms@1:{from}-{to}")];
+        cluster.kill(n);
+        fleet.set_environment(SyscallFaults { rules, seed: 1, epoch_ns, counts: None }.environment());
+        cluster.start_node(fleet, n, "").expect("the node starts again");
+        cluster.leader();
+    }
+    (cluster, epoch + FIRST_STALL)
+}
+
+/// Guards against a leader that keeps its place while its disk stalls, so that nobody's writes are acknowledged.
+#[test]
+fn a_leader_whose_disk_stalls_is_replaced_and_loses_nothing() {
+    const STALL: Duration = Duration::from_secs(3);
+    const INTERVAL: Duration = Duration::from_secs(6);
+    /// Half an election timeout (the stall counts), two election timeouts and a call that was given up.
+    const MAX_GAP: Duration = Duration::from_millis(2_500);
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    let (cluster, first_stall) = cluster_with_stalls(&mut fleet, STALL, INTERVAL);
+    let leader = cluster.leader();
+    let stalls_at = first_stall + INTERVAL * leader as u32;
+    std::thread::sleep(stalls_at.saturating_duration_since(Instant::now() + Duration::from_millis(500)));
+    assert_eq!(cluster.leader(), leader, "it still leads when its disk stalls");
+    let writers = Writers::start(&cluster.fronts(), 3, Duration::from_millis(5));
+    // The time until another leads, seen by one more writer at the other nodes.
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    let (mut longest_gap, mut last_answer, mut n) = (Duration::ZERO, Instant::now(), 0);
+    while Instant::now() < stalls_at + STALL {
+        if register(cluster.front(others[n % 2]), &format!("probe-{n}"), n).is_some() {
+            longest_gap = longest_gap.max(last_answer.elapsed());
+            last_answer = Instant::now();
+        }
+        n += 1;
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let next = cluster.leader_of(&others, AGREEMENT_TIMEOUT);
+    std::thread::sleep(Duration::from_millis(500));
+    let (acknowledged, unacknowledged) = writers.end();
+    eprintln!(
+        "the disk of leader {leader} stalled for {STALL:?}: {next} leads, longest gap {longest_gap:?}; {} writes \
+         acknowledged, {unacknowledged} calls not",
+        acknowledged.len()
+    );
+    assert!(longest_gap > Duration::from_millis(100), "the leader's disk did not stall");
+    assert!(longest_gap < MAX_GAP, "writes stood still for {longest_gap:?}");
+    assert_listed(&cluster, &acknowledged);
+    fleet.check_deadline();
+}
--- a/tests/raft_messages.rs
+++ b/tests/raft_messages.rs
@@ -8,7 +8,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use linkhatch_proxy::registry::node::membership::JoinStatus;
-use linkhatch_proxy::registry::raft::network::{Network, PeerClient};
+use linkhatch_proxy::registry::raft::log::Log;
+use linkhatch_proxy::registry::raft::network::{DurableLog, Network, PeerClient};
 use linkhatch_proxy::registry::raft::quorum_lease::QuorumLease;
 use linkhatch_proxy::registry::raft::{NodeId, TypeConfig};
 use openraft::error::{InstallSnapshotError, RaftError};
@@ -90,7 +91,12 @@
     /// A client of this node, as Raft uses it.
     async fn client(&self) -> PeerClient {
         let peers = Arc::new(BTreeMap::from([(TARGET, self.address)]));
-        let mut network = Network { peers, node: CALLER, quorum_lease: QuorumLease::default() };
+        let durable_log = DurableLog {
+            log: Log::in_memory(CALLER),
+            patience: CALL_TIMEOUT,
+            max_leader_stall: CALL_TIMEOUT,
+        };
+        let mut network = Network { peers, node: CALLER, quorum_lease: QuorumLease::default(), durable_log };
         network.new_client(TARGET, &EmptyNode {}).await
     }
 
