Do not stand for election again while the answers to the last vote may be on their way

Callers saw: with syncs near the election timeout no node led, and every call ended in 503.

Cause: Raft's core begins the next election a fixed time after its last vote, counted from before that vote's sync. Where two syncs take longer, the node with the shortest timeout overtakes its own elections and raises the term for all.

Change: a node stands again only after twice the time that its last vote took to be durable; a vote that differs only in being committed is not waited for.

--- a/src/registry/node/membership.rs
+++ b/src/registry/node/membership.rs
@@ -60,7 +60,7 @@
             tokio::time::sleep(self.election_timeout).await;
         }
         self.may_vote.set(true);
-        self.raft.runtime_config().elect(true);
+        self.log.elections().enable();
         if self.log.is_new() && !has_cluster && !self.join {
             let members: BTreeSet<NodeId> = self.peers.keys().copied().chain([self.id]).collect();
             // Each founder initializes the same members; one that another founder has called already need not.
--- a/src/registry/node/mod.rs
+++ b/src/registry/node/mod.rs
@@ -142,6 +142,7 @@
         let raft = Raft::new(config.node, raft_config, network, log.clone(), state_machine)
             .await
             .map_err(|error| NodeError::Raft(Box::new(error)))?;
+        log.elections().attach(raft.clone());
         let max_clock_step = Duration::from_millis(config.expiry_interval_ms) + CLOCK_SLACK;
         let node = Self {
             id: config.node,
--- a/src/registry/raft/log/mod.rs
+++ b/src/registry/raft/log/mod.rs
@@ -31,6 +31,7 @@
 mod writer;
 
 use super::disk_error::DiskError;
+use super::election::ElectionGate;
 use super::{Entry, LogId, Membership, NodeId, TypeConfig, Vote};
 pub use acknowledgement::AppendRange;
 use durability::Durability;
@@ -110,6 +111,7 @@
     jobs: Option<Sender<Job>>,
     owner: Owner,
     durability: Durability,
+    elections: ElectionGate,
     /// Whether this node has peers.
     is_replicated: Arc<AtomicBool>,
     /// Whether the cluster has several voters, as the latest membership says that this log was told of.
@@ -147,6 +149,7 @@
             jobs,
             owner,
             durability: Durability::default(),
+            elections: ElectionGate::default(),
             is_replicated: Arc::default(),
             has_several_voters: Arc::default(),
         }
@@ -166,6 +169,11 @@
         self.owner.incarnation
     }
 
+    /// Whether the node may stand for election, which depends on how long its votes take to be durable.
+    pub fn elections(&self) -> &ElectionGate {
+        &self.elections
+    }
+
     /// Whether nothing has ever been written to it: no entry, no vote, nothing purged.
     pub fn is_new(&self) -> bool {
         let state = lock(&self.state);
--- a/src/registry/raft/log/storage.rs
+++ b/src/registry/raft/log/storage.rs
@@ -32,12 +32,21 @@
     }
 
     async fn save_vote(&mut self, vote: &Vote) -> Result<(), StorageError> {
+        let stored = self.vote_to_store(*vote);
+        let known = lock(&self.state).vote;
+        if known.is_some_and(|known| known.leader_id == stored.leader_id) {
+            // Whom this node voted for is durable already; that a quorum did so too need not be.
+            let written = self.write(vec![Record::Vote(stored)], Completion::None);
+            return Ok(written.map_err(|e| StorageIOError::write_vote(&e))?);
+        }
+        let number = self.elections.vote_cast();
         let started_at = Instant::now();
-        let record = Record::Vote(self.vote_to_store(*vote));
-        self.write_durably(record).await.map_err(|e| StorageIOError::write_vote(&e))?;
-        let (term, voted_for, committed) = (vote.leader_id.term, vote.leader_id.node_id, vote.committed);
-        let elapsed_ms = started_at.elapsed().as_millis() as u64;
-        tracing::info!(node = self.owner.node, term, voted_for, committed, elapsed_ms, "vote made durable");
+        self.write_durably(Record::Vote(stored)).await.map_err(|e| StorageIOError::write_vote(&e))?;
+        let elapsed = started_at.elapsed();
+        self.elections.vote_durable(number, elapsed);
+        let (term, voted_for, elapsed_ms) =
+            (vote.leader_id.term, vote.leader_id.node_id, elapsed.as_millis() as u64);
+        tracing::info!(node = self.owner.node, term, voted_for, elapsed_ms, "vote made durable");
         Ok(())
     }
 
--- a/src/registry/raft/mod.rs
+++ b/src/registry/raft/mod.rs
@@ -3,10 +3,12 @@
 //! - [`log`]: the log and the vote, on disk.
 //! - [`state_machine`]: the store that the log is applied to, and its snapshots (`snapshot`).
 //! - [`network`]: the calls between nodes.
+//! - [`election`]: when a node may stand for election.
 //! - [`quorum_lease`]: what a leader knows of its own leadership.
 //! - [`disk_error`] and `frame`: what the files on disk have in common.
 
 pub mod disk_error;
+pub mod election;
 mod frame;
 pub mod log;
 pub mod network;
--- a/tests/fleet/slow_disk.rs
+++ b/tests/fleet/slow_disk.rs
@@ -80,6 +80,30 @@
     fleet.check_deadline();
 }
 
+/// Guards against elections that overtake each other, where the votes of one need longer than an election timeout.
+#[test]
+fn a_leader_is_elected_and_replaced_while_votes_take_longer_than_an_election_timeout() {
+    // Twice that, here and at the voter, is over the shortest election timeout of 250 ms.
+    const SYNC: Duration = Duration::from_millis(200);
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    fleet.set_environment(slow_syncs(SYNC));
+    let started_at = Instant::now();
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    let first = cluster.leader();
+    let elected = started_at.elapsed();
+    let revision = register(cluster.front(first), "before", 1).expect("acknowledged");
+    cluster.agreed(revision, AGREEMENT_TIMEOUT);
+    let killed_at = Instant::now();
+    cluster.kill(first);
+    let others: Vec<usize> = (0..3).filter(|n| *n != first).collect();
+    let next = cluster.leader_of(&others, AGREEMENT_TIMEOUT);
+    let replaced = killed_at.elapsed();
+    eprintln!("syncs of {SYNC:?}: a leader after {elected:?}, the next after {replaced:?}");
+    register(cluster.front(next), "after", 2).expect("acknowledged by the next leader");
+    assert!(listed(cluster.front(next)).1.contains("before"));
+    fleet.check_deadline();
+}
+
 /// Starts three nodes of which each has one stall of its disk, `interval` after the one before; returns when the first
 /// begins.
 fn cluster_with_stalls(fleet: &mut Fleet, stall: Duration, interval: Duration) -> (Cluster, Instant) {
