Name a node as a member only once its joining is complete

Callers saw: a lost node was forgotten and joined anew, the status named three members, another node went down, and every write ended in 503 until it was back.

Cause: while members change a quorum is needed of the old ones and of the new ones; Node::members named both together, so the status and add_member took the first of two steps for the last.

A trace of the leader's calls shows the joined node answering each within 1 ms, and the leader's last quorum 1.5 s ago.

Change: members are those who vote in both. Test: node::membership::tests.

--- a/src/registry/node/membership.rs
+++ b/src/registry/node/membership.rs
@@ -6,7 +6,7 @@
 
 use super::{Node, NodeError, RETRY_INTERVAL};
 use crate::http_client::HttpClient;
-use crate::registry::raft::NodeId;
+use crate::registry::raft::{Members, NodeId};
 use crate::registry::store::{Command, StoreError};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -162,8 +162,18 @@
         Ok(())
     }
 
-    /// The members that vote.
+    /// The members that vote, without one whose joining or leaving is not complete.
     pub fn members(&self) -> BTreeSet<NodeId> {
-        self.raft.metrics().borrow().membership_config.membership().voter_ids().collect()
+        settled_voters(self.raft.metrics().borrow().membership_config.membership())
     }
 }
+
+/// Who votes in each part of a configuration. While members change it has two parts, and needs a quorum of both: a member
+/// that is in one of them cannot stand in for one of the other yet.
+fn settled_voters(members: &Members) -> BTreeSet<NodeId> {
+    let parts = members.get_joint_config();
+    members.voter_ids().filter(|node| parts.iter().all(|part| part.contains(node))).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/registry/node/membership/tests.rs
@@ -0,0 +1,16 @@
+//! Who counts as a member while members change.
+
+use super::settled_voters;
+use crate::registry::raft::Members;
+use std::collections::BTreeSet;
+
+/// Guards against a member that is reported before it can stand in for another: with the other down nothing is committed.
+#[test]
+fn a_node_counts_as_a_member_once_its_joining_is_complete() {
+    let (before, after) = (BTreeSet::from([2, 3]), BTreeSet::from([1, 2, 3]));
+    let joining = Members::new(vec![before.clone(), after.clone()], None);
+    assert_eq!(settled_voters(&joining), before);
+    assert_eq!(settled_voters(&Members::new(vec![after.clone()], None)), after);
+    let leaving = Members::new(vec![after, before.clone()], None);
+    assert_eq!(settled_voters(&leaving), before);
+}
--- a/src/registry/raft/log/mod.rs
+++ b/src/registry/raft/log/mod.rs
@@ -32,7 +32,7 @@
 
 use super::disk_error::DiskError;
 use super::election::ElectionGate;
-use super::{Entry, LogId, Membership, NodeId, TypeConfig, Vote};
+use super::{Entry, LogId, Members, Membership, NodeId, TypeConfig, Vote};
 pub use acknowledgement::AppendRange;
 use durability::Durability;
 use openraft::EntryPayload;
@@ -122,9 +122,6 @@
     state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// Which members vote.
-type Members = openraft::Membership<NodeId, openraft::EmptyNode>;
-
 /// The members that an entry sets, if it does.
 fn membership_of(entry: &Entry) -> Option<&Members> {
     match &entry.payload {
--- a/src/registry/raft/mod.rs
+++ b/src/registry/raft/mod.rs
@@ -55,7 +55,9 @@
 pub type Vote = openraft::Vote<NodeId>;
 /// An entry's place in the log.
 pub type LogId = openraft::LogId<NodeId>;
-/// The cluster's members as stored.
+/// The cluster's members.
+pub type Members = openraft::Membership<NodeId, openraft::EmptyNode>;
+/// The cluster's members as stored, with the place in the log that set them.
 pub type Membership = openraft::StoredMembership<NodeId, openraft::EmptyNode>;
 /// What storage calls fail with.
 pub type StorageError = openraft::StorageError<NodeId>;
