Count a registration's TTL from its answer, not from before its commit

Callers saw: a backend with a TTL of 800 ms left the list 750 ms after its registration was answered, on a busy disk.

Cause: the TTL counted from when the leader took the call in, so the commit's time was lost.

Change: the leader counts the answer as a renewal. Leases and sessions stay: their holders count from when they sent the call.

--- a/src/registry/node/proposal.rs
+++ b/src/registry/node/proposal.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::agreement::state::Command as Change;
+use crate::registry::liveness::Renewals;
 use crate::registry::raft::{Applied, NodeId};
 use crate::registry::store::{Command, StoreError};
 use openraft::error::{ClientWriteError, RaftError};
@@ -35,7 +36,25 @@
             self.end_former_grant(name, holder, timeout).await?;
         }
         stamp(&mut command, self.log_time());
-        self.commit(command, timeout).await
+        let registered = match &command {
+            Command::Register { instance, .. } => Some(instance.instance_id.clone()),
+            _ => None,
+        };
+        let applied = self.commit(command, timeout).await?;
+        if let Some(id) = registered {
+            self.renew_registered(id);
+        }
+        Ok(applied)
+    }
+
+    /// Counts the TTL of a backend from now, when its registration is answered: the caller knows of it from then on, and
+    /// the commit may have taken a part of it.
+    fn renew_registered(&self, id: String) {
+        let registered = Renewals { instances: vec![id], ..Renewals::default() };
+        // Where this node does not lead any more, the backend has its whole TTL from when the next one leads.
+        if let Err(error) = self.renew(&registered) {
+            tracing::debug!(%error, "a registration was committed by a node that no longer leads");
+        }
     }
 
     /// Checks that this node leads, as far as it knows.
--- a/tests/fleet/slow_disk.rs
+++ b/tests/fleet/slow_disk.rs
@@ -4,10 +4,12 @@
 use crate::harness;
 use crate::harness::cluster::Cluster;
 use crate::harness::process::Fleet;
+use crate::harness::registry::{call, registration};
 use crate::replicated::{Writers, listed, register};
 use fleet_testbed::syscall_faults::SyscallFaults;
 use nix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const FLEET_DEADLINE: Duration = Duration::from_secs(60);
@@ -20,6 +22,12 @@
     SyscallFaults { rules, seed: 1, ..SyscallFaults::default() }.environment()
 }
 
+/// The system's monotonic clock, from which the rules' times can count.
+fn monotonic_ns() -> u64 {
+    let now = clock_gettime(ClockId::CLOCK_MONOTONIC).expect("the monotonic clock");
+    now.tv_sec() as u64 * 1_000_000_000 + now.tv_nsec() as u64
+}
+
 /// Registers by `writers` writers at once at the leader for `duration`; what was acknowledged, with its revisions.
 fn write_for(cluster: &Cluster, writers: usize, duration: Duration) -> BTreeMap<String, u64> {
     let leader = cluster.front(cluster.leader());
@@ -104,6 +112,43 @@
     fleet.check_deadline();
 }
 
+/// Guards against a TTL that has begun to run before the caller knows of its registration.
+#[test]
+fn a_registration_lives_its_ttl_from_its_answer_however_long_the_disk_took() {
+    const SYNC_MS: u64 = 400;
+    const SLOW_FROM_MS: u64 = 1_500;
+    const SLOW_TO_MS: u64 = 1_900;
+    const TTL: Duration = Duration::from_millis(800);
+    /// The bounds of `replicated::clocks_that_jump_by_an_hour_neither_expire_nor_extend_registrations`.
+    const EARLY: Duration = Duration::from_millis(20);
+    const LATE: Duration = Duration::from_millis(400);
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    let rules = vec![format!("sync={SYNC_MS}..{SYNC_MS}ms@1:{SLOW_FROM_MS}-{SLOW_TO_MS}")];
+    let (epoch_ns, epoch) = (Some(monotonic_ns()), Instant::now());
+    fleet.set_environment(SyscallFaults { rules, seed: 1, epoch_ns, counts: None }.environment());
+    let dir = fleet.scratch("slow-registration");
+    let config =
+        format!("listen = \"127.0.0.1:0\"\ndata_dir = \"{}\"\nexpire_every_ms = 50\n", dir.display());
+    let node = fleet.registry(&config).expect("the node starts");
+    std::thread::sleep((epoch + Duration::from_millis(SLOW_FROM_MS + 50)).duration_since(Instant::now()));
+    let called_at = Instant::now();
+    let body = registration("brief", SocketAddr::from(([127, 0, 0, 1], 1)), TTL.as_millis() as u64);
+    let (status, _) = call(node.address(), "POST", "/v1/register", &body).expect("answered");
+    let answered_at = Instant::now();
+    assert_eq!(status, 200);
+    assert!(answered_at - called_at >= Duration::from_millis(SYNC_MS), "the disk was slow");
+    while listed(node.address()).1.contains("brief") {
+        assert!(answered_at.elapsed() < AGREEMENT_TIMEOUT, "it never expires");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let lived = answered_at.elapsed();
+    let _ = std::fs::remove_dir_all(&dir);
+    eprintln!("answered after {:?}, expired {lived:?} later (TTL {TTL:?})", answered_at - called_at);
+    assert!(lived >= TTL - EARLY, "expired early: {lived:?}");
+    assert!(lived < TTL + LATE, "expired late: {lived:?}");
+    fleet.check_deadline();
+}
+
 /// Starts three nodes of which each has one stall of its disk, `interval` after the one before; returns when the first
 /// begins.
 fn cluster_with_stalls(fleet: &mut Fleet, stall: Duration, interval: Duration) -> (Cluster, Instant) {
@@ -111,9 +156,7 @@
     const WINDOW: Duration = Duration::from_millis(100);
     const FIRST_STALL: Duration = Duration::from_secs(5);
     let mut cluster = Cluster::start(fleet, 3, "");
-    let now = clock_gettime(ClockId::CLOCK_MONOTONIC).expect("the monotonic clock");
-    let epoch_ns = Some(now.tv_sec() as u64 * 1_000_000_000 + now.tv_nsec() as u64);
-    let epoch = Instant::now();
+    let (epoch_ns, epoch) = (Some(monotonic_ns()), Instant::now());
     for n in 0..3 {
         let from = (FIRST_STALL + interval * n as u32).as_millis();
         let (to, ms) = (from + WINDOW.as_millis(), stall.as_millis());
