--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -28,6 +28,8 @@
 pub const MOST_PROCESSES: usize = 2_048;
 /// Most lines of one process's log kept for whoever asks; later ones are dropped.
 pub const MOST_LINES: usize = 10_000;
+/// Most lines of its log that are printed when a test fails.
+const MAX_PRINTED_LINES: usize = 40;
 /// How long a process has to say where it listens.
 const START_WITHIN: Duration = Duration::from_secs(10);
 
@@ -311,6 +313,14 @@
         self.log.try_iter().collect()
     }
 
+    /// Prints the last lines of its log that nobody has asked for: a test that fails is traced by them.
+    fn print_log_end(&self) {
+        let lines = self.log_lines();
+        let skipped = lines.len().saturating_sub(MAX_PRINTED_LINES);
+        eprintln!("log of process {:?} at {:?}, without {skipped} lines before:", self.id(), self.address);
+        lines[skipped..].iter().for_each(|line| eprintln!("  {line}"));
+    }
+
     /// SIGKILLs and reaps it now.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -324,6 +334,9 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_log_end();
+        }
         self.kill();
         let _ = std::fs::remove_file(&self.path);
     }
--- a/tests/fleet/slow_disk.rs
+++ b/tests/fleet/slow_disk.rs
@@ -8,8 +8,11 @@
 use crate::replicated::{Writers, listed, register};
 use fleet_testbed::syscall_faults::SyscallFaults;
 use nix::time::{ClockId, clock_gettime};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const FLEET_DEADLINE: Duration = Duration::from_secs(60);
@@ -207,3 +210,122 @@
     assert_listed(&cluster, &acknowledged);
     fleet.check_deadline();
 }
+
+/// What callers got from one cluster.
+struct Measured {
+    /// Writes a second, median and 99th percentile latency, by the number of writers.
+    by_writers: Vec<(usize, f64, Duration, Duration)>,
+    /// Renewals that failed, of all.
+    renewals: (usize, usize),
+    /// Times that a renewed lease was lost.
+    leases_lost: usize,
+    /// From the leader's kill to the next leader.
+    next_leader: Duration,
+}
+
+/// Writes for `duration` by `writers` writers at once; the latency of each acknowledged write, sorted.
+fn write_latencies(at: SocketAddr, writers: usize, duration: Duration) -> Vec<Duration> {
+    let end = Instant::now() + duration;
+    let threads: Vec<_> = (0..writers)
+        .map(|writer| {
+            std::thread::spawn(move || {
+                let mut latencies = Vec::new();
+                for n in 0.. {
+                    let started_at = Instant::now();
+                    if started_at >= end {
+                        break;
+                    }
+                    if register(at, &format!("m{writer}-{}", n % 20), n).is_some() {
+                        latencies.push(started_at.elapsed());
+                    }
+                }
+                latencies
+            })
+        })
+        .collect();
+    let mut all: Vec<Duration> =
+        threads.into_iter().flat_map(|thread| thread.join().expect("a writer ends")).collect();
+    all.sort();
+    all
+}
+
+/// Renews a backend and a lease until `stop`; renewals that failed, all renewals, and how often the lease was lost.
+fn renew_until(stop: &AtomicBool, at: SocketAddr) -> (usize, usize, usize) {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let acquire = json!({"holder": "h", "name": "duty", "ttlMs": 1_000});
+    let token =
+        || call(at, "POST", "/v1/lease/acquire", &acquire).and_then(|(_, body)| body["token"].as_u64());
+    let (mut held, mut failed, mut all, mut lost) = (token(), 0, 0, 0);
+    while !stop.load(Ordering::SeqCst) {
+        let grant = json!({"name": "duty", "token": held});
+        for (path, body) in
+            [("/v1/heartbeat", &json!({"instanceId": "renewed"})), ("/v1/lease/keepalive", &grant)]
+        {
+            let status = call(at, "POST", path, body).map(|(status, _)| status);
+            all += 1;
+            failed += usize::from(status != Some(200));
+            if status == Some(409) {
+                lost += 1;
+                held = token();
+            }
+        }
+        std::thread::sleep(INTERVAL);
+    }
+    (failed, all, lost)
+}
+
+/// Measures three nodes of which `slow` have disks whose syncs take `sync`.
+fn measure(sync: Duration, slow: usize) -> Measured {
+    const DURATION: Duration = Duration::from_secs(2);
+    let mut fleet = harness::fleet(FLEET_DEADLINE);
+    let mut cluster = Cluster::start(&mut fleet, 3, "");
+    cluster.leader();
+    fleet.set_environment(slow_syncs(sync));
+    for n in 0..slow {
+        cluster.kill(n);
+        cluster.start_node(&mut fleet, n, "").expect("the node starts again");
+        cluster.leader();
+    }
+    let leader = cluster.leader();
+    let at = cluster.front(leader);
+    register(at, "renewed", 0).expect("acknowledged");
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopped = stop.clone();
+    let renewing = std::thread::spawn(move || renew_until(&stopped, at));
+    let by_writers = [1, 3, 64].map(|writers| {
+        let latencies = write_latencies(at, writers, DURATION);
+        let at = |part: usize| latencies.get(latencies.len() * part / 100).copied().unwrap_or(Duration::MAX);
+        (writers, latencies.len() as f64 / DURATION.as_secs_f64(), at(50), at(99))
+    });
+    stop.store(true, Ordering::SeqCst);
+    let (failed, all, leases_lost) = renewing.join().expect("it ends");
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    let killed_at = Instant::now();
+    cluster.kill(leader);
+    cluster.leader_of(&others, AGREEMENT_TIMEOUT);
+    let next_leader = killed_at.elapsed();
+    Measured { by_writers: by_writers.to_vec(), renewals: (failed, all), leases_lost, next_leader }
+}
+
+/// Not a test: prints the table of `docs/CAPACITY.md`.
+#[test]
+#[ignore = "a measurement"]
+fn measures_what_callers_get_from_slow_disks() {
+    for ms in [1, 5, 20, 50, 200] {
+        for slow in 1..=3 {
+            let Measured { by_writers, renewals: (failed, all), leases_lost, next_leader } =
+                measure(Duration::from_millis(ms), slow);
+            let cells: Vec<String> = by_writers
+                .iter()
+                .map(|(_, rate, p50, p99)| {
+                    format!("{rate:.0}, {:.1}, {:.1}", p50.as_secs_f64() * 1e3, p99.as_secs_f64() * 1e3)
+                })
+                .collect();
+            eprintln!(
+                "| {ms} ms | {slow} | {} | {} ms | {failed} of {all} | {leases_lost} |",
+                cells.join(" | "),
+                next_leader.as_millis()
+            );
+        }
+    }
+}
