--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -380,12 +380,13 @@
         }
         let played = play::play(plan, &options.program)?;
         println!(
-            "seed {}: {} troubles, {} tries, {} served, {} refused, {} broken",
+            "seed {}: {} faults, {} tries, {} served, {} refused, {} sent after SIGTERM, {} broken",
             plan.seed,
-            plan.troubles.len(),
+            plan.faults.len(),
             played.tries,
             played.served,
             played.refused,
+            played.sent_after_sigterm,
             played.breaks.len()
         );
         // The first of them, and the last, which may tell of all.
@@ -401,7 +402,7 @@
         let kept =
             if options.shrinks && options.replay.is_none() { shrunk(plan, options) } else { plan.clone() };
         play::save(&kept, &path)?;
-        println!("  plan: {} with {} troubles", path.display(), kept.troubles.len());
+        println!("  plan: {} with {} faults", path.display(), kept.faults.len());
     }
     println!("{failed} of {} plans failed", plans.len());
     Ok(u8::from(failed > 0))
--- a/testbed/src/soak/backend.rs
+++ b/testbed/src/soak/backend.rs
@@ -91,8 +91,13 @@
         let how = self.how.get();
         let turned_away = self.drains.get() || how == Some(Misbehaviour::TurnAway);
         let left = message.header("x-remaining-ms").and_then(|ms| ms.parse::<f64>().ok()).unwrap_or(f64::MAX);
-        let arrival =
-            Arrival { id, backend: self.number, began: message.began, told_left: left / 1000.0, turned_away };
+        let arrival = Arrival {
+            id,
+            backend: self.number,
+            began: message.began,
+            passed_timeout: left / 1000.0,
+            turned_away,
+        };
         open(&self.ledger).arrivals.push(arrival);
         if how == Some(Misbehaviour::ForgetIdle) && forgotten {
             return None; // its sender cannot know whether it ran
--- a/testbed/src/soak/discovery.rs
+++ b/testbed/src/soak/discovery.rs
@@ -156,8 +156,8 @@
                 return;
             }
             let generation = list["generation"].as_u64().unwrap_or(0);
-            if let Some(told) = open(&self.ledger).told.get_mut(proxy) {
-                told.push((generation, Instant::now()));
+            if let Some(notified) = open(&self.ledger).notified.get_mut(proxy) {
+                notified.push((generation, Instant::now()));
             }
         }
     }
--- a/testbed/src/soak/ledger.rs
+++ b/testbed/src/soak/ledger.rs
@@ -78,7 +78,7 @@
     /// When its first byte was read.
     pub began: Instant,
     /// The seconds that the backend was told the client will wait.
-    pub told_left: f64,
+    pub passed_timeout: f64,
     /// The backend turned it away: it never ran.
     pub turned_away: bool,
 }
@@ -149,7 +149,7 @@
     /// Peers that send no whole request.
     pub bad_peers: Vec<BadPeer>,
     /// For each proxy, the versions of the list written to it and when.
-    pub told: Vec<Vec<(u64, Instant)>>,
+    pub notified: Vec<Vec<(u64, Instant)>>,
     /// Drains.
     pub drains: Vec<Drain>,
     /// Cold starts.
@@ -158,6 +158,8 @@
     pub unheard: Vec<Span>,
     /// Spans in which a proxy was held up.
     pub held_up: Vec<Span>,
+    /// Spans in which idle clients filled a proxy.
+    pub crowded: Vec<Span>,
     /// Spans from a SIGTERM to the process's end.
     pub stopped: Vec<Span>,
     /// Spans from a SIGKILL that nothing announced to the process's end.
--- a/testbed/src/soak/plan.rs
+++ b/testbed/src/soak/plan.rs
@@ -19,8 +19,9 @@
     pub backends: [usize; 2],
     /// Fewest and most clients of each proxy.
     pub clients: [usize; 2],
-    /// Fewest and most troubles of a play.
-    pub troubles: [usize; 2],
+    /// Fewest and most faults of a play.
+    #[serde(rename = "troubles")]
+    pub faults: [usize; 2],
 }
 
 /// One play.
@@ -40,13 +41,13 @@
     /// The longest deadline of a request, in seconds.
     pub deadline: f64,
     /// What happens.
-    #[serde(default)]
-    pub troubles: Vec<Trouble>,
+    #[serde(rename = "troubles", default)]
+    pub faults: Vec<Fault>,
 }
 
-/// One trouble.
+/// One fault.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Trouble {
+pub struct Fault {
     /// When it begins, in seconds.
     pub at: f64,
     /// How long it lasts, in seconds.
@@ -68,6 +69,19 @@
         held_up_after: f64,
         /// For how long.
         held_up: f64,
+        /// Signals that come before SIGTERM.
+        #[serde(default)]
+        before: Vec<SignalStep>,
+        /// Signals that come after it.
+        #[serde(default)]
+        after: Vec<SignalStep>,
+    },
+    /// Idle clients open connections to a proxy until it has no room for more, and keep them.
+    Crowd {
+        /// Which.
+        proxy: usize,
+        /// How many.
+        connections: usize,
     },
     /// A proxy is killed and started again.
     Kill {
@@ -135,6 +149,27 @@
     },
 }
 
+/// One signal of a series.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SignalStep {
+    /// Which.
+    pub signal: SeriesSignal,
+    /// The seconds until the next one.
+    pub gap: f64,
+}
+
+/// A signal that can come in a series.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SeriesSignal {
+    /// SIGHUP: discovery may have moved.
+    Reload,
+    /// SIGTERM once more.
+    Terminate,
+    /// SIGSTOP, and SIGCONT after the gap.
+    Suspend,
+}
+
 /// What a backend does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -187,9 +222,16 @@
     "open=ENFILE@0.7",
 ];
 /// The rules that make a disk fail.
-const DISK_RULES: [&str; 4] = ["write=ENOSPC@1", "write=EIO@0.3", "sync=EIO@0.5", "write=torn@0.02"];
-/// The part of the troubles of proxies that come to the first one.
+const DISK_RULES: [&str; 5] =
+    ["write=ENOSPC@1", "write=EIO@0.3", "sync=EIO@0.5", "write=torn@0.02", "sync=20..200ms@1"];
+/// The part of the faults of proxies that come to the first one.
 const FOCUS: f64 = 0.7;
+/// Most signals of a series before SIGTERM, and after it.
+const MAX_SERIES: usize = 3;
+/// The longest gap between two signals of a series, in seconds.
+const MAX_GAP: f64 = 0.2;
+/// Connections of a crowd: fewer than a proxy has room for, and more.
+const CROWDS: [usize; 2] = [200, 600];
 /// Steps of the wall clock, in seconds.
 const CLOCK_STEPS: [i64; 4] = [-3600, -7, 7, 3600];
 
@@ -206,11 +248,11 @@
             backends: number(&mut rng, spec.backends),
             clients: number(&mut rng, spec.clients),
             deadline: *[1.5, 3.0, 6.0].choose(&mut rng).unwrap_or(&3.0),
-            troubles: Vec::new(),
+            faults: Vec::new(),
         };
         // Two or three overlap: they come together, at times only after all has been quiet for a while.
         let together = rng.random_range(0.1..0.6) * seconds;
-        for _ in 0..number(&mut rng, spec.troubles) {
+        for _ in 0..number(&mut rng, spec.faults) {
             let kind = plan.draw_kind(&mut rng);
             let at = (together + rng.random_range(0.0..2.5)).min(0.8 * seconds);
             let length = match &kind {
@@ -219,24 +261,30 @@
                 Kind::Calls { .. } => rng.random_range(3.0..8.0),
                 _ => rng.random_range(0.8..4.0),
             };
-            plan.troubles.push(Trouble { at, length, kind });
+            plan.faults.push(Fault { at, length, kind });
         }
         plan
     }
 
     fn draw_kind(&self, rng: &mut SmallRng) -> Kind {
         use Misbehaviour::{CloseBehind, Fail, ForgetIdle, Hang, NoLength, Reset, TurnAway, Twice};
-        // Troubles of one proxy mostly meet at the same.
+        // Faults of one proxy mostly meet at the same.
         let proxy = if rng.random_bool(FOCUS) { 0 } else { rng.random_range(0..self.proxies) };
         let backend = rng.random_range(0..self.backends);
         let some = rng.random_range(1..=(self.backends / 3).max(1));
         let rule = |rules: &[&str], rng: &mut SmallRng| rules.choose(rng).copied().unwrap_or_default().into();
-        match rng.random_range(0..16) {
+        match rng.random_range(0..18) {
             0 | 1 => Kind::Stop {
                 proxy,
                 held_up_after: rng.random_range(0.0..2.0),
                 held_up: *[0.0, 0.15, 0.45].choose(rng).unwrap_or(&0.0),
+                before: draw_series(rng, &[SeriesSignal::Reload, SeriesSignal::Suspend]),
+                after: draw_series(
+                    rng,
+                    &[SeriesSignal::Reload, SeriesSignal::Terminate, SeriesSignal::Suspend],
+                ),
             },
+            16 | 17 => Kind::Crowd { proxy, connections: *CROWDS.choose(rng).unwrap_or(&CROWDS[0]) },
             2 => Kind::Kill { proxy },
             3 => Kind::HoldUp { proxy },
             4 => Kind::Reload { proxy },
@@ -258,10 +306,20 @@
         }
     }
 
-    /// The same without one trouble.
-    pub fn without(&self, trouble: usize) -> Self {
+    /// The same without one fault.
+    pub fn without(&self, fault: usize) -> Self {
         let mut plan = self.clone();
-        plan.troubles.remove(trouble);
+        plan.faults.remove(fault);
         plan
     }
 }
+
+/// Draws the signals of a series, none in one of four.
+fn draw_series(rng: &mut SmallRng, signals: &[SeriesSignal]) -> Vec<SignalStep> {
+    let count = rng.random_range(0..=MAX_SERIES);
+    let step = |rng: &mut SmallRng| {
+        let signal = signals.choose(rng).copied().unwrap_or(SeriesSignal::Reload);
+        SignalStep { signal, gap: rng.random_range(0.0..MAX_GAP) }
+    };
+    (0..count).map(|_| step(rng)).collect()
+}
