--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -139,6 +139,25 @@
     assert_eq!(answers[2], "");
 }
 
+/// Guards against a request that is lost because idle newcomers evicted its connection, which had just been used.
+#[tokio::test]
+async fn a_connection_just_used_is_not_evicted_for_idle_newcomers() {
+    const MAX_CONNECTIONS: usize = 8;
+    let answers = with_server(MAX_CONNECTIONS, |address| async move {
+        let mut used = TcpStream::connect(address).await.unwrap();
+        let first = ask(&mut used).await;
+        let mut newcomers = Vec::new();
+        for _ in 0..3 * MAX_CONNECTIONS {
+            newcomers.push(TcpStream::connect(address).await.unwrap());
+        }
+        // The server has accepted all of them once it answers the last one.
+        let last = ask(&mut newcomers[3 * MAX_CONNECTIONS - 1]).await;
+        [first, last, ask(&mut used).await]
+    })
+    .await;
+    assert!(answers.iter().all(|answer| answer.contains("not ready")), "{answers:?}");
+}
+
 /// Closed connections are not among those that can be evicted.
 #[tokio::test]
 async fn closed_connections_do_not_count_as_idle() {
