Count a close that a client finds within its pause after a kill as the kill's, in the soak

The oracle's span of the kill ended 50 ms after it; a client's pause between two requests is up to 60 ms. The span now lasts for 100 ms more. Nothing else is excused by it.

--- a/testbed/src/soak/signals.rs
+++ b/testbed/src/soak/signals.rs
@@ -16,6 +16,9 @@
 /// which counts as this many seconds at most.
 const MAX_COUNTED_DEADLINE_S: f64 = 3.0;
 
+/// A client between two requests finds its connection closed by a kill this much later at most: its pause is 60 ms.
+const MAX_CLIENT_PAUSE: Duration = Duration::from_millis(100);
+
 /// When a process is suspended after SIGTERM, and for how long, in seconds.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Suspension {
@@ -142,7 +145,8 @@
         process.kill();
         std::thread::sleep(Duration::from_millis(50));
         self.takes(proxy, false);
-        open(&self.ledger).killed.push(Span { proxy, from, to: Instant::now() });
+        let last_use = Instant::now() + MAX_CLIENT_PAUSE;
+        open(&self.ledger).killed.push(Span { proxy, from, to: last_use });
         self.restart(proxy);
     }
 
