--- a/src/proxy/server/client_connection.rs
+++ b/src/proxy/server/client_connection.rs
@@ -25,8 +25,6 @@
     idle_key: Cell<u64>,
     /// Whether a request on it is in flight.
     is_busy: Cell<bool>,
-    /// Whether another request may follow one that it has carried.
-    expects_next_request: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Notified when it is to make room for another connection.
     eviction: Rc<Notify>,
@@ -42,7 +40,6 @@
             number,
             idle_key: Cell::default(),
             is_busy: Cell::default(),
-            expects_next_request: Cell::default(),
             idle_since: Cell::new(Instant::now()),
             eviction: Rc::default(),
         };
@@ -56,14 +53,12 @@
         self.is_busy.set(false);
         self.idle_since.set(Instant::now());
         connections.remove_idle(self.idle_key.get()); // it is already idle when it begins to linger
-        let is_between_requests = self.expects_next_request.get();
-        self.idle_key.set(connections.add_idle(self.eviction.clone(), is_between_requests));
+        self.idle_key.set(connections.add_idle(self.eviction.clone()));
     }
 
     /// A request on the connection is in flight, from now on.
     pub(super) fn set_busy(&self) {
         self.is_busy.set(true);
-        self.expects_next_request.set(true);
         self.server.connections.remove_idle(self.idle_key.get());
     }
 
@@ -104,7 +99,6 @@
 
     /// Lingering close. The connection stays counted meanwhile, and is idle, so that it can be evicted.
     pub(super) async fn linger(&self, stream: SharedStream, reason: CloseReason) {
-        self.expects_next_request.set(false);
         self.set_idle();
         let is_evicted = reason == CloseReason::Evicted;
         let timeout = if is_evicted { EVICTED_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
