Count a client connection's idle time from when its answer has been sent

Callers saw: a client that reads its answer slowly has its connection closed up to 2 s too early, and its next request is lost with it (a connection may be closed once it has been idle for 2 s).

Cause: the idle time began when the answer was made. Whether it had been sent was asked only when that time was over, so an answer that went out shortly before counted as sent long ago.

Change: the stream remembers when all that was written had been handed to the system, and the idle time counts from then.

Evidence: a_connection_is_idle_only_once_its_answer_has_been_sent reads its answer after 2.1 s and sends its next request 1.9 s later. Before: the request ends with its connection (empty answer).

--- a/src/proxy/server/client_connection.rs
+++ b/src/proxy/server/client_connection.rs
@@ -77,7 +77,9 @@
             if self.is_busy.get() || stream.has_unsent_bytes() {
                 self.idle_since.set(Instant::now());
             }
-            let deadline = self.idle_since.get() + timeout;
+            let answered_at = self.idle_since.get();
+            let idle_since = stream.sent_at().map_or(answered_at, |sent_at| sent_at.max(answered_at));
+            let deadline = idle_since + timeout;
             if Instant::now() >= deadline {
                 return;
             }
--- a/src/proxy/shared_stream.rs
+++ b/src/proxy/shared_stream.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// How often a connection with unread bytes is checked for its end: the runtime reports no end behind unread bytes.
 const END_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -46,6 +47,8 @@
     pushed_back: RefCell<Bytes>,
     has_read_end: Cell<bool>,
     has_unsent_bytes: Cell<bool>,
+    /// When all that had been written was last handed to the system.
+    sent_at: Cell<Option<Instant>>,
     /// Counts the connections with unsent bytes.
     unsent_gauge: UnsentGauge,
 }
@@ -67,6 +70,7 @@
             pushed_back: RefCell::default(),
             has_read_end: Cell::default(),
             has_unsent_bytes: Cell::default(),
+            sent_at: Cell::default(),
             unsent_gauge,
         }))
     }
@@ -86,6 +90,11 @@
         self.0.has_unsent_bytes.get()
     }
 
+    /// When all that had been written was last handed to the system.
+    pub fn sent_at(&self) -> Option<Instant> {
+        self.0.sent_at.get()
+    }
+
     /// What lies unread now, according to the system; the runtime may not know it yet.
     pub fn unread(&self) -> Unread {
         let socket = self.0.socket.borrow();
@@ -174,6 +183,9 @@
         if self.has_unsent_bytes.replace(has_unsent) != has_unsent {
             let others = self.unsent_gauge.get() - usize::from(!has_unsent);
             self.unsent_gauge.set(others + usize::from(has_unsent));
+            if !has_unsent {
+                self.sent_at.set(Some(Instant::now()));
+            }
         }
     }
 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -601,6 +601,36 @@
     assert_eq!(whole_body(&got), Some(LONG_BODY), "{} bytes came", got.len());
 }
 
+/// Guards against a request that is lost because the connection was closed shortly after a slow reader had its answer: the
+/// idle time began when the answer did.
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_idle_only_once_its_answer_has_been_sent() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap(); // its connections have the same
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().ok();
+    let play = |address| async move {
+        let (go, signal) = oneshot::channel();
+        go.send(()).unwrap();
+        let client = async {
+            let mut stream = slow_reader(address).await;
+            stream.write_all(numbered_request(1).as_bytes()).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(2100)).await;
+            let mut got = Vec::new();
+            while whole_body(&got).is_none() && stream.read_buf(&mut got).await.is_ok_and(|read| read > 0) {}
+            tokio::time::sleep(Duration::from_millis(1900)).await;
+            ask(&mut stream).await
+        };
+        tokio::join!(client, long_answer(&backend, signal)).0
+    };
+    let class = unsafe_class();
+    let answer =
+        with_listener(listener, Rc::default(), address, class, 8, std::future::pending(), play).await;
+    assert!(answer.contains("ready"), "{answer:?}");
+}
+
 /// hyper reads no further than the beginning of a next request, so it does not notice an end behind it.
 #[tokio::test(start_paused = true)]
 async fn a_disconnect_behind_a_pipelined_byte_is_detected_and_ends_the_attempts() {
