Admit clients' connections by what they have carried, and keep room for newcomers

Callers saw: beside a crowd of idle clients, requests on connections used milliseconds before ended with the connection and no answer; backends were passed up to 0.27 s more time than was left; a peer that sent nothing had its end after up to 5.1 s of the 3 s owed.

Change: a connection has a phase. Evicted are those that have carried no request, then those idle for 2 s. An eighth of the places is kept for newcomers: while there is less, answers say Connection: close. Where there is no place a newcomer is admitted with its request, if there is one by then. Closing connections take no place, and the oldest lingering or unadmitted one makes way, so that accept does not stall.

--- a/src/cli/proxy.rs
+++ b/src/cli/proxy.rs
@@ -69,7 +69,8 @@
     fn of(descriptors: usize) -> Self {
         let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let backends = available * 2 / 5;
-        let clients = (available - backends) * server::OVERFLOW / (server::OVERFLOW + 1);
+        let clients =
+            (available - backends) * server::PLACES_PER_OVERFLOW / (server::PLACES_PER_OVERFLOW + 1);
         Self { clients, backends }
     }
 }
--- a/src/cli/proxy/tests.rs
+++ b/src/cli/proxy/tests.rs
@@ -7,7 +7,7 @@
 fn clients_have_room_beside_a_third_of_the_descriptors_and_no_limit_is_passed() {
     for sockets in [256, 384, 512, 1024, 2048, 4096, 65_536] {
         let ConnectionLimits { clients, backends } = ConnectionLimits::of(sockets);
-        let taken = clients + clients / server::OVERFLOW;
+        let taken = clients + clients / server::PLACES_PER_OVERFLOW;
         assert!(clients > sockets / 3 + 16, "{clients} of {sockets}");
         assert!(taken + backends + RESERVED_DESCRIPTORS <= sockets, "{taken} {backends} of {sockets}");
     }
@@ -18,7 +18,8 @@
 fn all_granted_descriptors_are_divided_between_clients_and_backends() {
     for sockets in [1024, 4096] {
         let ConnectionLimits { clients, backends } = ConnectionLimits::of(sockets);
-        let unused = sockets - RESERVED_DESCRIPTORS - backends - clients - clients / server::OVERFLOW;
+        let unused =
+            sockets - RESERVED_DESCRIPTORS - backends - clients - clients / server::PLACES_PER_OVERFLOW;
         assert!(unused <= 1, "{unused} of {sockets}");
     }
     assert!(ConnectionLimits::of(4096).backends > 1300);
--- a/src/proxy/server/handler.rs
+++ b/src/proxy/server/handler.rs
@@ -33,8 +33,8 @@
     /// The number of the connection.
     pub(super) connection: u64,
     pub(super) stream: &'a SharedStream,
-    /// Whether the connection is beyond the limit, so that its requests are rejected.
-    pub(super) is_over_limit: bool,
+    /// Whether the connection is within the limit; requests on others are rejected.
+    pub(super) is_admitted: bool,
     /// When the request must be complete.
     pub(super) read_deadline: Instant,
 }
@@ -74,7 +74,7 @@
             Ok(request) => request,
             Err(error) => return Ok(bad_request(&error)),
         };
-        if context.is_over_limit {
+        if !context.is_admitted {
             let reason = Rejection::TooManyConnections;
             metrics::count(CountedEvent::RequestRejected(reason));
             tracing::debug!(id = %request.id, reason = reason.label(), "rejected");
--- a/src/proxy/server/lifecycle.rs
+++ b/src/proxy/server/lifecycle.rs
@@ -55,22 +55,18 @@
 
 impl Server {
     /// Serves one request after another, up to the end of the connection; returns why it is closed.
-    pub(super) async fn serve_connection(
-        &self,
-        client: &ClientConnection,
-        stream: &SharedStream,
-        is_over_limit: bool,
-    ) -> CloseReason {
+    pub(super) async fn serve_connection(&self, client: &ClientConnection) -> CloseReason {
+        let stream = &client.stream;
         let mut closing = self.connections.closing();
         let first_read_deadline = Cell::new(Some(Instant::now() + REQUEST_READ_TIMEOUT));
         let service = service_fn(|request| async {
             let read_deadline =
                 first_read_deadline.take().unwrap_or_else(|| Instant::now() + REQUEST_READ_TIMEOUT);
-            client.set_busy();
-            let context = RequestContext { connection: client.number, stream, is_over_limit, read_deadline };
+            let is_admitted = client.begin_request();
+            let context = RequestContext { connection: client.number(), stream, is_admitted, read_deadline };
             let mut response = self.respond(request, context).await?;
-            client.set_idle();
-            if is_over_limit {
+            let is_last = client.end_request();
+            if is_last {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, ClientDisconnected>(response)
@@ -81,7 +77,7 @@
             _ = &mut connection => return CloseReason::ClientClosed, // errors are the client's
             _ = closing.wait_for(|is_closing| *is_closing) => CloseReason::ShuttingDown,
             () = client.evicted() => CloseReason::Evicted,
-            () = client.idle_for(HEAD_TIMEOUT, stream) => CloseReason::IdleTimeout,
+            () = client.idle_for(HEAD_TIMEOUT) => CloseReason::IdleTimeout,
         };
         let is_evicted = reason == CloseReason::Evicted;
         let head_timeout = if is_evicted { EVICTED_HEAD_TIMEOUT } else { HEAD_TIMEOUT };
--- a/src/proxy/server/listener.rs
+++ b/src/proxy/server/listener.rs
@@ -3,7 +3,6 @@
 use super::Server;
 use super::client_connection::ClientConnection;
 use crate::os::sockets::{self, Failure, classify_accept};
-use crate::proxy::shared_stream::SharedStream;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,28 +17,27 @@
 const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 impl Server {
-    /// Accepts connections for as long as it is polled.
+    /// Accepts connections for as long as it is polled. A connection beyond those that may be open is accepted only to
+    /// have another one make way: none waits in the backlog while its time goes by.
     pub(super) async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.connections.is_beyond_overflow() {
-                self.connections.wait_for_close().await;
-            }
             let (stream, _) = sockets::accept(listener).await;
             self.clone().spawn_connection(stream);
+            while self.connections.exceeds_overflow() {
+                self.connections.abort_beyond_limit();
+                self.connections.wait_for_close().await;
+            }
         }
     }
 
     /// Serves a connection in a task of its own.
     pub(super) fn spawn_connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true); // it works without, with more delay
-        // An idle connection makes room: a client that only keeps one must not keep others out.
-        let is_over_limit = self.connections.is_full() && !self.connections.evict_longest_idle();
-        let client = ClientConnection::open(self);
+        let client = ClientConnection::open(self, stream);
         tokio::task::spawn_local(async move {
-            let stream = SharedStream::with_gauge(stream, client.server.connections.unsent_gauge());
-            let reason = client.server.serve_connection(&client, &stream, is_over_limit).await;
-            client.record_close(&stream, reason);
-            client.linger(stream, reason).await;
+            let reason = client.server.serve_connection(&client).await;
+            client.record_close(reason);
+            client.linger(reason).await;
         });
     }
 }
--- a/src/proxy/server/mod.rs
+++ b/src/proxy/server/mod.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpListener;
 
 /// One connection beyond the limit is accepted, to be rejected, for so many within it.
-pub const OVERFLOW: usize = 8;
+pub const PLACES_PER_OVERFLOW: usize = 8;
 
 /// Serves clients.
 pub struct Server {
--- a/tests/fleet/harness/client.rs
+++ b/tests/fleet/harness/client.rs
@@ -142,7 +142,8 @@
     std::mem::take(&mut *records.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
 }
 
-fn text(kind: Kind, txn: &str, key: u64, left_ms: u64) -> String {
+/// A whole request of this kind, as a client sends it; `key` is the idempotency key where the kind has one.
+pub fn text(kind: Kind, txn: &str, key: u64, left_ms: u64) -> String {
     let lane = kind.lane();
     let (method, key) = match kind {
         Kind::Status => ("GET", String::new()),
--- a/tests/fleet/harness/program.rs
+++ b/tests/fleet/harness/program.rs
@@ -1,5 +1,6 @@
 //! Services of a program that is named by its path, so that a test can run a build other than its own.
 
+use linkhatch_proxy::telemetry::LOG_VARIABLE;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -31,6 +32,7 @@
 pub struct Service {
     child: Child,
     address: SocketAddr,
+    log: Receiver<String>,
 }
 
 impl Service {
@@ -69,6 +71,26 @@
         Self::start(command)
     }
 
+    /// Starts a proxy of `program` that may open `max_files` files and logs warnings, with discovery at `discovery`; its
+    /// configuration goes to `config_path`.
+    ///
+    /// # Panics
+    /// Where it does not start in time, with what it said.
+    pub fn proxy_with_max_files(
+        program: &Path,
+        config_path: &Path,
+        config: &str,
+        discovery: SocketAddr,
+        max_files: usize,
+    ) -> Self {
+        std::fs::write(config_path, config).expect("a configuration file");
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("ulimit -n {max_files} && exec \"$0\"")]).arg(program);
+        command.env("RELAY_CONFIG", config_path).env(LOG_VARIABLE, "warn");
+        command.env("RELAY_LISTEN", "127.0.0.1:0").env("RELAY_DISCOVERY", discovery.to_string());
+        Self::start(command)
+    }
+
     /// Returns once the service says where it listens.
     fn start(mut command: Command) -> Self {
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
@@ -80,7 +102,7 @@
             log.lines().map_while(Result::ok).for_each(|line| drop(lines.try_send(line)));
         });
         match listening_address(&received) {
-            Ok(address) => Self { child, address },
+            Ok(address) => Self { child, address, log: received },
             Err(log) => {
                 let _ = child.kill();
                 let _ = child.wait();
@@ -94,6 +116,16 @@
         self.address
     }
 
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Lines of its log that came since the last call.
+    pub fn log_lines(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     /// How many files it has open.
     ///
     /// # Panics
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run several proxy processes with faults between them (the harness is in `harness/`).
 
+mod crowds;
 mod deployments;
 mod durable;
 mod duties;
