Bound the connections of the metrics' listener in number and time

Cause: telemetry::metrics::serve accepted every connection and served it with no time-out.

Now eight are served at once, each for one answer and 2 s at most; others wait in the backlog. A reader that reused its connection makes a new one for each reading.

--- a/src/telemetry/metrics/endpoint.rs
+++ b/src/telemetry/metrics/endpoint.rs
@@ -1,4 +1,7 @@
-//! The listener that serves the metrics: `GET /metrics`.
+//! The listener that serves the metrics: `GET /metrics`, one answer for each connection.
+//!
+//! Its connections are few and short, as they take descriptors that are reserved beside those of clients and backends: a
+//! peer that sends nothing, or does not read its answer, holds one for a moment only.
 
 use super::{Gauges, IS_SERVED, encode};
 use crate::os::sockets::{self, Socket};
@@ -11,19 +14,33 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 /// The media type of the OpenMetrics text format.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The most connections at once; further ones wait in the listener's backlog.
+const MAX_CONNECTIONS: usize = 8;
+/// How long a connection may take from its accept to the end of its answer.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Serves the metrics on `listener` for as long as it is polled; `gauges` is called for each answer. Counting starts
 /// with the first poll. Runs on a `LocalSet`.
 pub async fn serve(listener: TcpListener, gauges: impl Fn() -> Gauges + Clone + 'static) {
     IS_SERVED.store(true, Ordering::Relaxed);
-    loop {
+    let capacity = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    // The semaphore is never closed.
+    while let Ok(permit) = capacity.clone().acquire_owned().await {
         let (stream, _) = sockets::accept(&listener).await;
-        tokio::task::spawn_local(serve_connection(stream, gauges.clone()));
+        let served = serve_connection(stream, gauges.clone());
+        tokio::task::spawn_local(async move {
+            served.await;
+            drop(permit);
+        });
     }
 }
 
@@ -32,9 +49,13 @@
         let response = respond(request.uri().path(), gauges());
         async move { Ok::<_, Infallible>(response) }
     });
-    let served = http1::Builder::new().serve_connection(TokioIo::new(Socket::new(stream)), service);
-    if let Err(error) = served.await {
-        tracing::debug!(%error, "connection of a metrics reader failed");
+    let mut http = http1::Builder::new();
+    http.keep_alive(false);
+    let served = http.serve_connection(TokioIo::new(Socket::new(stream)), service);
+    match tokio::time::timeout(CONNECTION_TIMEOUT, served).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::debug!(%error, "connection of a metrics reader failed"),
+        Err(_) => tracing::debug!("a metrics reader took too long"),
     }
 }
 
