Serve a request only on a connection that has a place, and count closing connections rightly

Found by a review of the phases of clients' connections, by tests that force the order of events:

- A connection beyond the limit that was picked to make way and whose request had arrived passed the limit: its request was served.
Now a request that arrives on either is served if there is a place for it then, and answered 503 if not.
- A connection that is closed as idle could still be chosen to make room, though nobody waited for that: it made none.
Now it needs no place from when it is to be closed.
- The notice to linger no longer shared its signal with evictions, so that one from before could end the lingering at once, and a close over unread bytes is a reset.
They are two signals now.

The tests of the first failed before; the others are by reading.

--- a/src/proxy/server/client_connection.rs
+++ b/src/proxy/server/client_connection.rs
@@ -80,14 +80,19 @@
         }
     }
 
-    /// Lingering close. The connection stays counted as open meanwhile, unless it has to make room for another.
+    /// The connection is to be closed, once what has arrived is answered.
+    pub(super) fn begin_closing(&self) {
+        self.server.connections.closing_began(&self.state);
+    }
+
+    /// Lingering close. The connection is open meanwhile, and lingers no longer where too many are open.
     pub(super) async fn linger(&self, reason: CloseReason) {
         self.server.connections.linger_began(&self.state);
         let is_evicted = reason == CloseReason::Evicted;
         let timeout = if is_evicted { EVICTED_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
         tokio::select! {
             _ = tokio::time::timeout(timeout, self.stream.clone().drain(MAX_DISCARDED_BYTES)) => {}
-            () = self.evicted() => {}
+            () = self.state.aborted() => {}
         }
     }
 }
--- a/src/proxy/server/connections.rs
+++ b/src/proxy/server/connections.rs
@@ -22,15 +22,15 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
-    /// Admitted; no request has arrived completely.
+    /// Admitted; no head of a request has arrived completely.
     AwaitingFirstRequest,
     /// Admitted; a request is in flight.
     Busy,
     /// Admitted; it has carried a request, and the next one may be on its way.
     BetweenRequests,
-    /// Beyond the limit; no request has arrived completely.
+    /// Beyond the limit; no head of a request has arrived completely.
     NotAdmitted,
-    /// About to be closed; a request that has arrived, even in part, is still answered.
+    /// To be closed; a request that has arrived in part is answered before, if there is a place for it then.
     Closing,
     /// Closed by the proxy, and read until its client closes it too.
     Lingering,
@@ -54,6 +54,8 @@
     answered_at: Cell<Instant>,
     /// Notified when it is to make room for another connection.
     eviction: Notify,
+    /// Notified when it is to linger no longer.
+    abort: Notify,
 }
 
 impl ConnectionState {
@@ -78,6 +80,11 @@
     pub(super) async fn evicted(&self) {
         self.eviction.notified().await;
     }
+
+    /// Waits until the connection is to linger no longer.
+    pub(super) async fn aborted(&self) {
+        self.abort.notified().await;
+    }
 }
 
 /// How the places for admitted connections are used.
@@ -170,7 +177,8 @@
 
     /// Counts a new connection, and admits it if there is room or another one can make room.
     pub(super) fn add(&self, stream: SharedStream) -> Rc<ConnectionState> {
-        let phase = if self.make_room() { Phase::AwaitingFirstRequest } else { Phase::NotAdmitted };
+        let is_admitted = self.make_room();
+        let phase = if is_admitted { Phase::AwaitingFirstRequest } else { Phase::NotAdmitted };
         self.open.set(self.open.get() + 1);
         self.accepted.set(self.accepted.get() + 1);
         let connection = Rc::new(ConnectionState {
@@ -181,12 +189,13 @@
             is_busy: Cell::default(),
             answered_at: Cell::new(Instant::now()),
             eviction: Notify::new(),
+            abort: Notify::new(),
         });
         self.enter(&connection, phase);
         tracing::debug!(
             connection = connection.number,
             open = self.open.get(),
-            is_admitted = phase != Phase::NotAdmitted,
+            is_admitted,
             "connection accepted"
         );
         connection
@@ -204,26 +213,24 @@
         self.closed.notified().await;
     }
 
-    /// A request has arrived on a connection. Returns whether it may be served: whether the connection is admitted, now at
-    /// the latest.
+    /// The head of a request has arrived on a connection. Returns whether the request may be served: whether the connection
+    /// has a place, now at the latest.
     pub(super) fn request_began(&self, connection: &Rc<ConnectionState>) -> bool {
         connection.is_busy.set(true);
-        match connection.phase.get() {
-            Phase::NotAdmitted if !self.make_room() => {
-                tracing::debug!(
-                    connection = connection.number,
-                    occupancy = ?self.occupancy(),
-                    "no room for the connection of a request"
-                );
-                self.enter(connection, Phase::Closing);
-                false
-            }
-            Phase::Closing | Phase::Lingering => true,
-            _ => {
-                self.enter(connection, Phase::Busy);
-                true
-            }
+        let has_place = match connection.phase.get() {
+            Phase::AwaitingFirstRequest | Phase::Busy | Phase::BetweenRequests => true,
+            Phase::NotAdmitted | Phase::Closing | Phase::Lingering => self.make_room(),
+        };
+        if !has_place {
+            let occupancy = self.occupancy();
+            tracing::debug!(
+                connection = connection.number,
+                ?occupancy,
+                "no room for the connection of a request"
+            );
         }
+        self.enter(connection, if has_place { Phase::Busy } else { Phase::Closing });
+        has_place
     }
 
     /// The request on a connection has its answer.
@@ -235,6 +242,13 @@
         }
     }
 
+    /// A connection is to be closed, for whatever reason. One without a request in flight needs no place any more.
+    pub(super) fn closing_began(&self, connection: &Rc<ConnectionState>) {
+        if !connection.is_busy() {
+            self.enter(connection, Phase::Closing);
+        }
+    }
+
     /// A connection is closed, and lingers from now on.
     pub(super) fn linger_began(&self, connection: &Rc<ConnectionState>) {
         connection.is_busy.set(false);
@@ -274,7 +288,7 @@
     /// that is not admitted and has sent no request.
     pub(super) fn abort_beyond_limit(&self) {
         if let Some(lingering) = self.oldest(Phase::Lingering) {
-            lingering.eviction.notify_one();
+            lingering.abort.notify_one();
         } else if let Some(connection) = self.oldest(Phase::NotAdmitted) {
             self.close(&connection);
         }
--- a/src/proxy/server/lifecycle.rs
+++ b/src/proxy/server/lifecycle.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection is closed when its client closes it, when the process shuts down, when it makes room for another, or
 //! when it is idle for too long. In each case a request that has arrived, even in part, is served first: closing the
-//! connection would lose it.
+//! connection would lose it. While there is little room for new connections it also ends with an answer that says so; what
+//! its client sends behind that answer is not read.
 
 use super::Server;
 use super::client_connection::ClientConnection;
@@ -79,6 +80,7 @@
             () = client.evicted() => CloseReason::Evicted,
             () = client.idle_for(HEAD_TIMEOUT) => CloseReason::IdleTimeout,
         };
+        client.begin_closing();
         let is_evicted = reason == CloseReason::Evicted;
         let head_timeout = if is_evicted { EVICTED_HEAD_TIMEOUT } else { HEAD_TIMEOUT };
         let head_deadline = first_read_deadline
--- a/src/proxy/server/listener.rs
+++ b/src/proxy/server/listener.rs
@@ -17,8 +17,8 @@
 const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 impl Server {
-    /// Accepts connections for as long as it is polled. A connection beyond those that may be open is accepted only to
-    /// have another one make way: none waits in the backlog while its time goes by.
+    /// Accepts connections for as long as it is polled. One beyond those that may be open is accepted to have another one
+    /// make way, as the time of its request would go by in the backlog. The next one is accepted after that.
     pub(super) async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
             let (stream, _) = sockets::accept(listener).await;
--- a/src/proxy/server/mod.rs
+++ b/src/proxy/server/mod.rs
@@ -26,7 +26,7 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
-/// One connection beyond the limit is accepted, to be rejected, for so many within it.
+/// One connection beyond the limit is open, until there is room for it or another needs its place, for so many within it.
 pub const PLACES_PER_OVERFLOW: usize = 8;
 
 /// Serves clients.
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -302,3 +302,109 @@
     let (newcomer, kept) = newcomer_after(Duration::from_secs(2)).await;
     assert!(newcomer.contains(" 200 ") && kept == PLACES - 2, "{kept} kept, {newcomer}");
 }
+
+/// A request whose body never comes.
+fn without_body(number: u32) -> String {
+    request(number, FAST, "Content-Length: 10\r\n").replace("GET", "POST")
+}
+
+/// How long a silent peer waits for its end, from when it connects.
+async fn silent_peer(subject: &Subject) -> Duration {
+    read_to_end(subject.connect().await).await.1
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_gets_its_end_in_time_behind_a_crowd_that_sends_heads_without_bodies() {
+    let mut late = Vec::new();
+    for places in [8, 111] {
+        let took = with_server(places, async move |subject| {
+            let mut crowd = Vec::new();
+            for number in 0..(places + places / 8 + 1) as u32 {
+                let mut stream = std::net::TcpStream::connect(subject.address).unwrap();
+                std::io::Write::write_all(&mut stream, without_body(number).as_bytes()).unwrap();
+                crowd.push(stream);
+                sleep(MOMENT).await;
+            }
+            println!("{places} places, open {}", subject.server.gauges().client_connections);
+            silent_peer(&subject).await
+        })
+        .await;
+        late.extend((took > OWED).then_some((places, took)));
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// All places are busy, and the connections beyond them wait for bodies.
+#[tokio::test(start_paused = true)]
+async fn a_request_beyond_the_limit_is_rejected_while_all_places_are_busy() {
+    let (answer, forwarded, open) = with_server(PLACES, async |subject| {
+        let _busy = subject.clients(PLACES, SLOW).await;
+        let mut without = std::net::TcpStream::connect(subject.address).unwrap();
+        std::io::Write::write_all(&mut without, without_body(1).as_bytes()).unwrap();
+        sleep(MOMENT).await;
+        let mut newcomer = std::net::TcpStream::connect(subject.address).unwrap();
+        std::io::Write::write_all(&mut newcomer, request(2, FAST, "").as_bytes()).unwrap();
+        newcomer.set_nonblocking(true).unwrap();
+        sleep(10 * MOMENT).await;
+        let open = subject.server.gauges().client_connections;
+        let answer = read_until(&mut TcpStream::from_std(newcomer).unwrap(), b"\n\n").await;
+        (answer, subject.forwarded.borrow().contains(&2), open)
+    })
+    .await;
+    println!("{open} open, forwarded {forwarded}, it got {answer:?}");
+    assert!(answer.contains("too many connections"), "{open} open, forwarded {forwarded}, it got {answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_gets_its_end_in_time_behind_a_request_beyond_the_limit() {
+    let mut late = Vec::new();
+    for places in [2, 7] {
+        let (took, open, forwarded) = with_server(places, async move |subject| {
+            let _busy = subject.clients(places, SLOW).await;
+            let mut newcomers = Vec::new();
+            for number in 1..=3 {
+                let mut stream = std::net::TcpStream::connect(subject.address).unwrap();
+                std::io::Write::write_all(&mut stream, request(number, SLOW, "").as_bytes()).unwrap();
+                newcomers.push(stream);
+                sleep(MOMENT).await;
+            }
+            let open = subject.server.gauges().client_connections;
+            (
+                silent_peer(&subject).await,
+                open,
+                subject.forwarded.borrow().iter().filter(|number| **number < 1000).count(),
+            )
+        })
+        .await;
+        println!("{places} places: {open} open, {forwarded} forwarded beyond them, end after {took:?}");
+        late.extend((took > OWED).then_some((places, took)));
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// All places are busy; one more is evicted with half a head, which then becomes a long request.
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_gets_its_end_in_time_behind_evicted_connections_whose_requests_are_served() {
+    let took = with_server(PLACES, async |subject| {
+        let _busy = subject.clients(PLACES - 1, SLOW).await;
+        let text = request(1, SLOW, "");
+        let mut evicted = subject.connect().await;
+        evicted.write_all(&text.as_bytes()[..20]).await.unwrap();
+        let mut newcomer = subject.connect().await;
+        newcomer.write_all(request(2, SLOW, "").as_bytes()).await.unwrap();
+        evicted.write_all(&text.as_bytes()[20..]).await.unwrap();
+        sleep(MOMENT).await;
+        println!("open {}", subject.server.gauges().client_connections);
+        let mut late = std::net::TcpStream::connect(subject.address).unwrap();
+        std::io::Write::write_all(&mut late, request(3, SLOW, "").as_bytes()).unwrap();
+        sleep(MOMENT).await;
+        println!(
+            "open {}, forwarded {:?}",
+            subject.server.gauges().client_connections,
+            subject.forwarded.borrow()
+        );
+        silent_peer(&subject).await
+    })
+    .await;
+    assert!(took <= OWED, "{took:?}");
+}
