Count a next request's head from its last bytes, so that a client that stops in it has its end in 3 s

Callers saw: a client that stops in the middle of its second request had the end of its connection after 4.4 s, where 3 s are owed.

Cause: the connection was idle for 2.2 s, as no head had arrived completely, and then the head got another 2.2 s.

Change: those count from when the last bytes arrived.

Evidence: a_client_that_stops_in_its_second_head_gets_its_end_in_time and a_silent_peer_gets_its_end_in_time_behind_used_connections_with_half_a_head failed before (4.4 s and 4.3 s); the tests that serve a request which has arrived in part at the idle time-out and at the stop pass.

--- a/src/proxy/server/lifecycle.rs
+++ b/src/proxy/server/lifecycle.rs
@@ -81,12 +81,11 @@
             () = client.idle_for(HEAD_TIMEOUT) => CloseReason::IdleTimeout,
         };
         client.begin_closing();
-        let is_evicted = reason == CloseReason::Evicted;
-        let head_timeout = if is_evicted { EVICTED_HEAD_TIMEOUT } else { HEAD_TIMEOUT };
-        let head_deadline = first_read_deadline
-            .get()
-            .filter(|_| !is_evicted)
-            .unwrap_or_else(|| Instant::now() + head_timeout);
+        let head_deadline = match first_read_deadline.get() {
+            _ if reason == CloseReason::Evicted => Instant::now() + EVICTED_HEAD_TIMEOUT,
+            Some(deadline) => deadline,
+            None => last_received_at(stream) + HEAD_TIMEOUT,
+        };
         if reason == CloseReason::ShuttingDown {
             // The first request on a new connection may be on its way.
             let has_begun = || first_read_deadline.get().is_none();
@@ -99,6 +98,12 @@
     }
 }
 
+/// When the last bytes arrived, as far as is known.
+fn last_received_at(stream: &SharedStream) -> Instant {
+    let read_at = stream.received_at().filter(|_| stream.unread() != Unread::Bytes);
+    read_at.unwrap_or_else(Instant::now)
+}
+
 /// Waits until the first request on a connection has begun, up to the deadline; returns whether it has.
 async fn first_request_begins<S>(
     connection: &mut Connection<S>,
--- a/src/proxy/shared_stream.rs
+++ b/src/proxy/shared_stream.rs
@@ -49,6 +49,8 @@
     has_unsent_bytes: Cell<bool>,
     /// When all that had been written was last handed to the system.
     sent_at: Cell<Option<Instant>>,
+    /// When bytes were last read from the system.
+    received_at: Cell<Option<Instant>>,
     /// Counts the connections with unsent bytes.
     unsent_gauge: UnsentGauge,
 }
@@ -71,6 +73,7 @@
             has_read_end: Cell::default(),
             has_unsent_bytes: Cell::default(),
             sent_at: Cell::default(),
+            received_at: Cell::default(),
             unsent_gauge,
         }))
     }
@@ -95,6 +98,11 @@
         self.0.sent_at.get()
     }
 
+    /// When bytes were last read from the system.
+    pub fn received_at(&self) -> Option<Instant> {
+        self.0.received_at.get()
+    }
+
     /// What lies unread now, according to the system; the runtime may not know it yet.
     pub fn unread(&self) -> Unread {
         let socket = self.0.socket.borrow();
@@ -207,7 +215,11 @@
         let (filled_before, capacity) = (buf.filled().len(), buf.remaining());
         let read = Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, buf);
         if let Poll::Ready(result) = &read {
-            let is_end = capacity > 0 && buf.filled().len() == filled_before;
+            let has_received = buf.filled().len() > filled_before;
+            if has_received {
+                self.0.received_at.set(Some(Instant::now()));
+            }
+            let is_end = capacity > 0 && !has_received;
             self.0.has_read_end.set(self.0.has_read_end.get() || is_end || result.is_err());
         }
         read
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -382,6 +382,40 @@
     assert!(late.is_empty(), "{late:?}");
 }
 
+/// Used connections with half a next head are past their idle time when newcomers come.
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_gets_its_end_in_time_behind_used_connections_with_half_a_head() {
+    let took = with_server(PLACES, async |subject| {
+        let mut used = subject.clients(PLACES - 1, FAST).await;
+        for stream in &mut used {
+            stream.write_all(b"GET /half").await.unwrap();
+        }
+        sleep(Duration::from_millis(2250)).await;
+        let mut busy = Vec::new();
+        for number in 1..=3 {
+            let mut stream = std::net::TcpStream::connect(subject.address).unwrap();
+            std::io::Write::write_all(&mut stream, request(number, SLOW, "").as_bytes()).unwrap();
+            busy.push(stream);
+            sleep(MOMENT).await;
+        }
+        println!("open {}", subject.server.gauges().client_connections);
+        silent_peer(&subject).await
+    })
+    .await;
+    assert!(took <= OWED, "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_client_that_stops_in_its_second_head_gets_its_end_in_time() {
+    let took = with_server(PLACES, async |subject| {
+        let mut stream = subject.clients(1, FAST).await.remove(0);
+        stream.write_all(b"GET /half").await.unwrap();
+        read_to_end(stream).await.1
+    })
+    .await;
+    assert!(took <= OWED, "{took:?}");
+}
+
 /// All places are busy; one more is evicted with half a head, which then becomes a long request.
 #[tokio::test(start_paused = true)]
 async fn a_silent_peer_gets_its_end_in_time_behind_evicted_connections_whose_requests_are_served() {
