Let the test of clients that fill the descriptors see the log lines of a shortage

Its check looked for "accept:" and "cannot connect" alone. A proxy out of descriptors logs "accept failed", and only from LINKHATCH_LOG=warn on, which the test did not set: the check could not fire. It now sets the level and looks for all four of SHORTAGES, which the tests of crowds use, the two former ones among them.

--- a/tests/fleet/crowds.rs
+++ b/tests/fleet/crowds.rs
@@ -63,7 +63,7 @@
 /// How many descriptors more than before may be open after a crowd.
 const MAX_EXTRA_DESCRIPTORS: usize = 8;
 /// What the log says where the proxy is out of descriptors.
-const SHORTAGES: [&str; 4] = ["accept:", "accept failed", "cannot connect", "os error 24"];
+pub const SHORTAGES: [&str; 4] = ["accept:", "accept failed", "cannot connect", "os error 24"];
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(0xc0_0000);
 
--- a/tests/fleet/hardening.rs
+++ b/tests/fleet/hardening.rs
@@ -1,6 +1,7 @@
 //! The stricter acceptance on several processes: rolling restarts under clients that send up to the end, a cold tier
 //! before thirty proxies, idle clients that fill the descriptors, and a list node that falls silent mid-answer.
 
+use crate::crowds::SHORTAGES;
 use crate::harness;
 use crate::harness::backend::Backend;
 use crate::harness::client::Kind;
@@ -340,6 +341,7 @@
         .env("RELAY_CONFIG", &path)
         .env("RELAY_LISTEN", "127.0.0.1:0")
         .env("RELAY_DISCOVERY", agent.to_string())
+        .env("LINKHATCH_LOG", "warn") // shortages are logged from this level on
         .stderr(Stdio::piped())
         .spawn()
         .expect("it starts");
@@ -398,7 +400,7 @@
     ended.store(true, Ordering::SeqCst);
     filler.join().expect("the filler ends");
     let said = said.lock().unwrap_or_else(std::sync::PoisonError::into_inner).join("\n");
-    assert!(!said.contains("accept:") && !said.contains("cannot connect"), "out of descriptors: {said}");
+    assert!(!SHORTAGES.iter().any(|shortage| said.contains(shortage)), "out of descriptors: {said}");
     let served = served.expect("a client is served");
     assert!(served < Duration::from_secs(6), "within the time in which the list counts as told: {served:?}");
 }
