--- a/testbed/src/soak/client.rs
+++ b/testbed/src/soak/client.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
@@ -18,6 +19,8 @@
 const BAD_PEER_WAITS: Duration = Duration::from_secs(4);
 /// The pause of a client between two requests, at most.
 const PAUSE_MS: u64 = 60;
+/// The pause of a client that rests, in milliseconds: a proxy must not close its connection so early.
+const REST_MS: RangeInclusive<u64> = 200..=1200;
 
 /// Which proxies clients may go to, and where they are.
 pub struct Front {
@@ -81,7 +84,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut kept: Option<Kept> = None;
         while !self.over.get() {
-            tokio::time::sleep(Duration::from_millis(rng.random_range(1..=PAUSE_MS))).await;
+            tokio::time::sleep(self.pause(&mut rng)).await;
             if self.manner.get() == Some(Manner::StopMidway) && rng.random_bool(0.1) {
                 self.stop_midway(home).await;
                 continue;
@@ -98,6 +101,12 @@
         }
     }
 
+    /// How long a client waits before its next request.
+    fn pause(&self, rng: &mut SmallRng) -> Duration {
+        let rests = self.manner.get() == Some(Manner::Rest) && rng.random_bool(0.5);
+        Duration::from_millis(rng.random_range(if rests { REST_MS } else { 1..=PAUSE_MS }))
+    }
+
     /// One try; whether it is to be made again, and the connection if it is kept.
     async fn one(
         &self,
--- a/testbed/src/soak/plan.rs
+++ b/testbed/src/soak/plan.rs
@@ -204,6 +204,8 @@
     StopMidway,
     /// They send the beginning of the next request behind each, and may leave.
     Pipeline,
+    /// They pause for longer between two requests, every other time. Fixed plans alone have it: none is drawn.
+    Rest,
 }
 
 /// The rules that make a proxy's calls fail.
