--- a/testbed/src/soak/backend.rs
+++ b/testbed/src/soak/backend.rs
@@ -1,4 +1,4 @@
-//! Backends of the soak: each answers after a few milliseconds of work, or misbehaves as it is told.
+//! Backends of the soak: each answers after a few milliseconds of work, or misbehaves as the plan says.
 
 use super::ledger::{Arrival, Shared, open};
 use super::plan::Misbehaviour;
@@ -68,9 +68,9 @@
         }
         let mut conn = Conn::new(stream);
         loop {
-            let rested = std::time::Instant::now();
+            let idle_since = std::time::Instant::now();
             let Ok(message) = conn.read().await else { return };
-            let forgotten = rested.elapsed() > FORGOTTEN_AFTER;
+            let forgotten = idle_since.elapsed() > FORGOTTEN_AFTER;
             let Some(ends) = self.one(&mut conn, &message, forgotten).await else {
                 abort(conn.stream());
                 return;
--- a/testbed/src/soak/client.rs
+++ b/testbed/src/soak/client.rs
@@ -1,6 +1,6 @@
 //! Clients of the soak: each sends one request after another on kept connections, in the manner of the moment.
 
-use super::ledger::{BadPeer, End, Lane, Shared, Try, open};
+use super::ledger::{BadPeer, ClientRequest, End, Lane, Shared, open};
 use super::plan::Manner;
 use crate::http::{Conn, ReadError};
 use rand::rngs::SmallRng;
@@ -38,7 +38,7 @@
     }
 }
 
-/// A connection that is kept: to which proxy, and since when it rests.
+/// A connection that is kept: to which proxy, and since when it is idle.
 type Kept = (usize, Conn, Instant);
 
 /// What all clients share.
@@ -90,7 +90,7 @@
                 continue;
             }
             let lane = [Lane::Safe, Lane::Unsafe, Lane::Keyed][rng.random_range(0..3)];
-            // A close that crosses a request is followed by one more try, on a new connection.
+            // A close that crosses a request is followed by one more request, on a new connection.
             for _ in 0..2 {
                 let (again, conn) = self.one(home, kept.take(), lane, &mut rng).await;
                 kept = conn;
@@ -107,7 +107,7 @@
         Duration::from_millis(rng.random_range(if rests { REST_MS } else { 1..=PAUSE_MS }))
     }
 
-    /// One try; whether it is to be made again, and the connection if it is kept.
+    /// One request; whether it is to be made again, and the connection if it is kept.
     async fn one(
         &self,
         home: usize,
@@ -115,7 +115,7 @@
         lane: Lane,
         rng: &mut SmallRng,
     ) -> (bool, Option<Kept>) {
-        let rested = kept.as_ref().map(|kept| kept.2.elapsed().as_secs_f64());
+        let idle_for = kept.as_ref().map(|kept| kept.2.elapsed().as_secs_f64());
         let (proxy, mut conn) = match kept {
             Some((proxy, conn, _)) => (proxy, conn),
             None => match self.connect(home).await {
@@ -160,16 +160,16 @@
         if end == End::Given {
             drop(conn);
             open(&self.ledger).left.push((id, Instant::now()));
-            self.note(Try { id, proxy, lane, sent, budget, rested, end, ended });
+            self.note(ClientRequest { id, proxy, lane, sent, budget, idle_for, end, ended });
             return (false, None);
         }
-        self.note(Try { id, proxy, lane, sent, budget, rested, end, ended });
+        self.note(ClientRequest { id, proxy, lane, sent, budget, idle_for, end, ended });
         let keeps = matches!(&read, Ok(Ok(answer)) if !answer.closes()) && !pipelined && conn.is_clean();
-        (end == End::Closed && rested.is_some(), keeps.then_some((proxy, conn, ended)))
+        (end == End::Closed && idle_for.is_some(), keeps.then_some((proxy, conn, ended)))
     }
 
-    fn note(&self, one: Try) {
-        open(&self.ledger).tries.push(one);
+    fn note(&self, one: ClientRequest) {
+        open(&self.ledger).requests.push(one);
     }
 
     async fn connect(&self, home: usize) -> Option<(usize, Conn)> {
--- a/testbed/src/soak/inject.rs
+++ b/testbed/src/soak/inject.rs
@@ -76,13 +76,13 @@
     pub(super) fn inject(&self, fault: &Fault) {
         let length = Duration::from_secs_f64(fault.length);
         match fault.kind.clone() {
-            Kind::Stop { proxy, held_up_after, held_up, before, after } => {
-                let suspension = Suspension { after: held_up_after, length: held_up };
+            Kind::Stop { proxy, suspended_after, suspended_for, before, after } => {
+                let suspension = Suspension { after: suspended_after, length: suspended_for };
                 self.stop(proxy, suspension, &before, &after);
             }
             Kind::Crowd { proxy, connections } => self.crowd(proxy, connections, length),
             Kind::Kill { proxy } => self.kill(proxy),
-            Kind::HoldUp { proxy } => self.hold_up(proxy, fault.length),
+            Kind::Suspend { proxy } => self.suspend_and_resume(proxy, fault.length),
             Kind::Reload { proxy } => self.reload(proxy),
             Kind::DiscoveryDown => {
                 let from = Instant::now();
--- a/testbed/src/soak/ledger.rs
+++ b/testbed/src/soak/ledger.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// How a try ended for its client.
+/// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     /// With a whole answer; `own`: a served one that is this request's own, or one that is not served.
@@ -47,9 +47,9 @@
     Given,
 }
 
-/// One try of a client.
+/// One request of a client, as it ended.
 #[derive(Clone, Debug)]
-pub struct Try {
+pub struct ClientRequest {
     /// Its id.
     pub id: u64,
     /// The proxy that it went to.
@@ -60,8 +60,8 @@
     pub sent: Instant,
     /// The seconds that it was to wait.
     pub budget: f64,
-    /// How long the connection had rested, in seconds, where it had carried others.
-    pub rested: Option<f64>,
+    /// How long the connection had been idle, in seconds, where it had carried others.
+    pub idle_for: Option<f64>,
     /// How it ended,
     pub end: End,
     /// and when.
@@ -77,7 +77,7 @@
     pub backend: usize,
     /// When its first byte was read.
     pub began: Instant,
-    /// The seconds that the backend was told the client will wait.
+    /// The seconds that the client will wait, as reported to the backend.
     pub passed_timeout: f64,
     /// The backend turned it away: it never ran.
     pub turned_away: bool,
@@ -140,8 +140,8 @@
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    /// Tries of clients.
-    pub tries: Vec<Try>,
+    /// Requests of clients.
+    pub requests: Vec<ClientRequest>,
     /// When clients left, by id.
     pub left: Vec<(u64, Instant)>,
     /// Attempts at backends.
@@ -156,8 +156,8 @@
     pub cold_starts: Vec<ColdStart>,
     /// Spans in which discovery was silent for a proxy, or it was dead.
     pub unheard: Vec<Span>,
-    /// Spans in which a proxy was held up.
-    pub held_up: Vec<Span>,
+    /// Spans in which a proxy was suspended.
+    pub suspended: Vec<Span>,
     /// Spans in which idle clients filled a proxy.
     pub crowded: Vec<Span>,
     /// Spans from a SIGTERM to the process's end.
--- a/testbed/src/soak/oracle.rs
+++ b/testbed/src/soak/oracle.rs
@@ -1,6 +1,6 @@
 //! Judges a play from outside of the program, by what clients, backends and discovery have seen.
 
-use super::ledger::{Arrival, Drain, End, Lane, Ledger, Span, Try};
+use super::ledger::{Arrival, ClientRequest, Drain, End, Lane, Ledger, Span};
 use super::plan::Plan;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
 const DEADLINE_SLACK: f64 = 0.15;
 /// An answer may come so long after its time.
 const LATE: f64 = 0.5;
-/// A proxy may close a connection that has rested for so long, less what its client's clock may be off.
+/// A proxy may close a connection that has been idle for so long, less what its client's clock may be off.
 const IDLE_CLOSE: f64 = 1.8;
 /// A peer that sends no whole request is owed an end within this.
 const BAD_PEER: f64 = 3.0;
@@ -39,11 +39,11 @@
 const CAPACITY_OVER_LOAD: f64 = 1.5;
 /// A fall counts where more than this part came from proxies that had been notified of the start.
 const MIN_NOTIFIED_PART: f64 = 2.0 / 3.0;
-/// Least part of the tries that is served in any play.
+/// Least part of the requests that is served in any play.
 const LEAST_SERVED: f64 = 0.3;
 /// Least part of the mean that a backend gets which is warm again.
 const LEAST_SHARE: f64 = 0.15;
-/// Tries and arrivals under which shares say nothing.
+/// Requests and arrivals under which shares say nothing.
 const MEANINGFUL: usize = 200;
 
 /// A rule that was broken, and how.
@@ -60,7 +60,7 @@
     ledger: &'a Ledger,
     plan: &'a Plan,
     start: Instant,
-    tries: HashMap<u64, &'a Try>,
+    requests: HashMap<u64, &'a ClientRequest>,
     arrivals: BTreeMap<u64, Vec<&'a Arrival>>,
 }
 
@@ -71,15 +71,15 @@
         for arrival in &ledger.arrivals {
             arrivals.entry(arrival.id).or_default().push(arrival);
         }
-        let tries = ledger.tries.iter().map(|one| (one.id, one)).collect();
-        Self { ledger, plan, start, tries, arrivals }
+        let requests = ledger.requests.iter().map(|one| (one.id, one)).collect();
+        Self { ledger, plan, start, requests, arrivals }
     }
 
     /// All that was broken.
     pub fn judge(&self) -> Vec<Break> {
         let mut broken: Vec<Break> =
             self.ledger.broken.iter().map(|what| Break { rule: "seen", what: what.clone() }).collect();
-        broken.extend(self.ledger.tries.iter().filter_map(|one| self.lost(one)));
+        broken.extend(self.ledger.requests.iter().filter_map(|one| self.lost(one)));
         broken.extend(self.arrivals.values().filter_map(|of_one| self.run_twice(of_one)));
         broken.extend(self.ledger.arrivals.iter().filter_map(|arrival| self.deadline(arrival)));
         broken.extend(self.after_leaving());
@@ -94,8 +94,8 @@
         format!("{:.3} s", instant.saturating_duration_since(self.start).as_secs_f64())
     }
 
-    fn held_up(&self, proxy: usize, from: Instant, to: Instant) -> f64 {
-        let of_proxy = self.ledger.held_up.iter().filter(|span| span.proxy == proxy);
+    fn suspended_for(&self, proxy: usize, from: Instant, to: Instant) -> f64 {
+        let of_proxy = self.ledger.suspended.iter().filter(|span| span.proxy == proxy);
         of_proxy.map(|span| span.overlap(from, to)).sum()
     }
 
@@ -104,12 +104,12 @@
         self.ledger.killed.iter().filter(of_proxy).any(|span| span.from <= to && span.to >= from)
     }
 
-    fn lost(&self, one: &Try) -> Option<Break> {
+    fn lost(&self, one: &ClientRequest) -> Option<Break> {
         if one.end == End::Given || self.was_killed(one.proxy, one.sent, one.ended) {
             return None;
         }
         let took = one.ended.duration_since(one.sent).as_secs_f64();
-        let allowed = one.budget + LATE + self.held_up(one.proxy, one.sent, one.ended) + SLACK;
+        let allowed = one.budget + LATE + self.suspended_for(one.proxy, one.sent, one.ended) + SLACK;
         let was_sent_on = self.arrivals.contains_key(&one.id);
         let why = match one.end {
             End::Answered { own: false, .. } => "answered with what is not its own",
@@ -132,23 +132,23 @@
         Some(Break { rule: "lost", what })
     }
 
-    /// Whether a close may have crossed a request on a kept connection: the proxy stopped, or it had rested for long. While
-    /// idle clients fill a proxy it may also shut new connections unread.
-    fn may_have_crossed(&self, one: &Try) -> bool {
+    /// Whether a close may have crossed a request on a kept connection: the proxy stopped, or it had been idle for long.
+    /// While idle clients fill a proxy it may also shut new connections unread.
+    fn may_have_crossed(&self, one: &ClientRequest) -> bool {
         let fills = |span: &Span| span.proxy == one.proxy && span.from <= one.ended && span.to >= one.sent;
-        if one.rested.is_none() && self.ledger.crowded.iter().any(fills) {
+        if one.idle_for.is_none() && self.ledger.crowded.iter().any(fills) {
             return true;
         }
         let of_proxy = |span: &&Span| span.proxy == one.proxy;
         let mut stops = self.ledger.stopped.iter().filter(of_proxy);
         let stops = stops.any(|span| span.from <= one.ended && span.to >= one.sent);
-        one.rested.is_some_and(|rested| stops || rested >= IDLE_CLOSE)
+        one.idle_for.is_some_and(|idle_for| stops || idle_for >= IDLE_CLOSE)
     }
 
     fn run_twice(&self, arrivals: &[&Arrival]) -> Option<Break> {
         let id = arrivals.first()?.id;
         let may_have_run: Vec<&&Arrival> = arrivals.iter().filter(|arrival| !arrival.turned_away).collect();
-        let lane = self.tries.get(&id).map_or(Lane::Safe, |one| one.lane);
+        let lane = self.requests.get(&id).map_or(Lane::Safe, |one| one.lane);
         let first = may_have_run.iter().map(|arrival| arrival.began).min()?;
         let window = Duration::from_secs_f64(settings::WINDOW + SLACK);
         let broken = match lane {
@@ -161,23 +161,23 @@
     }
 
     fn deadline(&self, arrival: &Arrival) -> Option<Break> {
-        let one = self.tries.get(&arrival.id)?;
+        let one = self.requests.get(&arrival.id)?;
         let passed = arrival.began.saturating_duration_since(one.sent).as_secs_f64();
-        let held = self.held_up(one.proxy, one.sent, arrival.began + Duration::from_millis(1));
+        let suspended = self.suspended_for(one.proxy, one.sent, arrival.began + Duration::from_millis(1));
         let over = arrival.passed_timeout - (one.budget - passed);
         let what = || {
             format!("{:016x}: told {over:.3} s more than is left, at {}", arrival.id, self.at(arrival.began))
         };
-        (over > DEADLINE_SLACK + SLACK + held).then(|| Break { rule: "deadline", what: what() })
+        (over > DEADLINE_SLACK + SLACK + suspended).then(|| Break { rule: "deadline", what: what() })
     }
 
     fn after_leaving(&self) -> Vec<Break> {
         let late = |(id, left): &(u64, Instant)| {
-            let one = self.tries.get(id)?;
+            let one = self.requests.get(id)?;
             let of_one = self.arrivals.get(id)?;
             let last = of_one.iter().map(|arrival| arrival.began).max()?;
             let by = last.checked_duration_since(*left)?.as_secs_f64();
-            let allowed = LEFT + SLACK + self.held_up(one.proxy, *left, last);
+            let allowed = LEFT + SLACK + self.suspended_for(one.proxy, *left, last);
             let what =
                 || format!("{id:016x}: an attempt {by:.3} s after its client left at {}", self.at(*left));
             (by > allowed).then(|| Break { rule: "lost", what: what() })
@@ -205,14 +205,14 @@
     fn sent_to_draining(&self, drain: &Drain) -> Vec<Break> {
         let mut broken = Vec::new();
         for arrival in self.ledger.arrivals.iter().filter(|arrival| arrival.backend == drain.backend) {
-            let Some(one) = self.tries.get(&arrival.id) else { continue };
+            let Some(one) = self.requests.get(&arrival.id) else { continue };
             if drain.until.is_some_and(|until| arrival.began >= until) {
                 continue;
             }
             let notified_at = self.notified_at(one.proxy, drain);
             let Some(late) = arrival.began.checked_duration_since(notified_at) else { continue };
-            let held = self.held_up(one.proxy, notified_at, arrival.began);
-            if late.as_secs_f64() > settings::DRAIN_GRACE + SLACK + held {
+            let suspended = self.suspended_for(one.proxy, notified_at, arrival.began);
+            if late.as_secs_f64() > settings::DRAIN_GRACE + SLACK + suspended {
                 let what = format!(
                     "{:016x} from proxy {} to backend {} {:.3} s after the news that it drains, at {}",
                     arrival.id,
@@ -231,9 +231,9 @@
         let left = |peer: &&super::ledger::BadPeer| {
             let until = peer.ended.unwrap_or(peer.connected + Duration::from_secs(60));
             let seen = peer.ended.unwrap_or(peer.connected + Duration::from_secs_f64(BAD_PEER));
-            let held = self.held_up(peer.proxy, peer.connected, seen);
+            let suspended = self.suspended_for(peer.proxy, peer.connected, seen);
             let took = until.duration_since(peer.connected).as_secs_f64();
-            took > BAD_PEER + SLACK + held && !self.was_killed(peer.proxy, peer.connected, seen)
+            took > BAD_PEER + SLACK + suspended && !self.was_killed(peer.proxy, peer.connected, seen)
         };
         let what = |peer: &super::ledger::BadPeer| {
             format!(
@@ -289,7 +289,7 @@
 
     /// Whether the proxy of an attempt had been notified of a cold start by then.
     fn knew(&self, arrival: &Arrival, start: &super::ledger::ColdStart) -> bool {
-        let notified = self.tries.get(&arrival.id).and_then(|one| self.ledger.notified.get(one.proxy));
+        let notified = self.requests.get(&arrival.id).and_then(|one| self.ledger.notified.get(one.proxy));
         let mut notified = notified.into_iter().flatten();
         notified.any(|(generation, at)| *generation >= start.generation && *at <= arrival.began)
     }
@@ -309,13 +309,14 @@
     }
 
     fn served_too_little(&self) -> Option<Break> {
-        let counted: Vec<&Try> = self.ledger.tries.iter().filter(|one| one.end != End::Given).collect();
+        let counted: Vec<&ClientRequest> =
+            self.ledger.requests.iter().filter(|one| one.end != End::Given).collect();
         let served =
             counted.iter().filter(|one| matches!(one.end, End::Answered { status: 200, .. })).count();
         let too_little = counted.len() > MEANINGFUL && (served as f64) < LEAST_SERVED * counted.len() as f64;
         let whole: HashSet<u64> = self.ledger.without_length.iter().copied().collect();
         let passed = whole.iter().filter(|id| {
-            self.tries.get(id).is_some_and(|one| matches!(one.end, End::Answered { status: 200, .. }))
+            self.requests.get(id).is_some_and(|one| matches!(one.end, End::Answered { status: 200, .. }))
         });
         let passed = passed.count();
         if whole.len() > MEANINGFUL && passed * 2 < whole.len() {
--- a/testbed/src/soak/plan.rs
+++ b/testbed/src/soak/plan.rs
@@ -61,14 +61,16 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Kind {
-    /// A proxy is told to stop (SIGTERM), ends, and is started again; it is held up meanwhile for so long.
+    /// A proxy is sent SIGTERM, ends, and is started again; meanwhile it may be suspended (SIGSTOP).
     Stop {
         /// Which.
         proxy: usize,
-        /// When it is held up, in seconds behind SIGTERM.
-        held_up_after: f64,
-        /// For how long.
-        held_up: f64,
+        /// When it is suspended, in seconds behind SIGTERM.
+        #[serde(rename = "held_up_after")]
+        suspended_after: f64,
+        /// For how long, in seconds.
+        #[serde(rename = "held_up")]
+        suspended_for: f64,
         /// Signals that come before SIGTERM.
         #[serde(default)]
         before: Vec<SignalStep>,
@@ -88,8 +90,9 @@
         /// Which.
         proxy: usize,
     },
-    /// A proxy is held up (SIGSTOP).
-    HoldUp {
+    /// A proxy is suspended (SIGSTOP) for the length of the fault.
+    #[serde(rename = "hold_up")]
+    Suspend {
         /// Which.
         proxy: usize,
     },
@@ -258,8 +261,8 @@
             let kind = plan.draw_kind(&mut rng);
             let at = (together + rng.random_range(0.0..2.5)).min(0.8 * seconds);
             let length = match &kind {
-                Kind::HoldUp { .. } if rng.random_bool(0.5) => rng.random_range(0.02..0.15),
-                Kind::HoldUp { .. } => rng.random_range(0.15..0.6),
+                Kind::Suspend { .. } if rng.random_bool(0.5) => rng.random_range(0.02..0.15),
+                Kind::Suspend { .. } => rng.random_range(0.15..0.6),
                 Kind::Calls { .. } => rng.random_range(3.0..8.0),
                 _ => rng.random_range(0.8..4.0),
             };
@@ -278,8 +281,8 @@
         match rng.random_range(0..18) {
             0 | 1 => Kind::Stop {
                 proxy,
-                held_up_after: rng.random_range(0.0..2.0),
-                held_up: *[0.0, 0.15, 0.45].choose(rng).unwrap_or(&0.0),
+                suspended_after: rng.random_range(0.0..2.0),
+                suspended_for: *[0.0, 0.15, 0.45].choose(rng).unwrap_or(&0.0),
                 before: draw_series(rng, &[SeriesSignal::Reload, SeriesSignal::Suspend]),
                 after: draw_series(
                     rng,
@@ -288,7 +291,7 @@
             },
             16 | 17 => Kind::Crowd { proxy, connections: *CROWDS.choose(rng).unwrap_or(&CROWDS[0]) },
             2 => Kind::Kill { proxy },
-            3 => Kind::HoldUp { proxy },
+            3 => Kind::Suspend { proxy },
             4 => Kind::Reload { proxy },
             5 => Kind::DiscoveryDown,
             6 => Kind::DiscoveryResets,
--- a/testbed/src/soak/play.rs
+++ b/testbed/src/soak/play.rs
@@ -1,7 +1,7 @@
 //! Plays one plan: starts the processes and what stands around them, makes the faults happen, and hands what was seen to
 //! the oracle.
 
-use super::ledger::{Ledger, Shared, Try, open};
+use super::ledger::{ClientRequest, Ledger, Shared, open};
 use super::oracle::{Break, Oracle};
 use super::plan::{Kind, Plan};
 use super::stage::{Stage, lock};
@@ -29,7 +29,7 @@
 pub struct Played {
     /// What was broken.
     pub breaks: Vec<Break>,
-    /// Tries of clients.
+    /// Requests of clients.
     pub tries: usize,
     /// Those that were served.
     pub served: usize,
@@ -104,12 +104,11 @@
     let ledger = open(&ledger);
     let breaks = Oracle::new(plan, &ledger, stage.start).judge();
     let status = |wanted: &dyn Fn(u16) -> bool| {
-        let is =
-            |one: &&Try| matches!(one.end, super::ledger::End::Answered { status, .. } if wanted(status));
-        ledger.tries.iter().filter(is).count()
+        let is = |one: &&ClientRequest| matches!(one.end, super::ledger::End::Answered { status, .. } if wanted(status));
+        ledger.requests.iter().filter(is).count()
     };
     Ok(Played {
-        tries: ledger.tries.len(),
+        tries: ledger.requests.len(),
         served: status(&|s| s == 200),
         refused: status(&|s| s == 503 || s == 429),
         sent_after_sigterm: sent_after_sigterm(&ledger),
@@ -120,10 +119,10 @@
 
 /// Requests that clients sent to a proxy between SIGTERM and its end.
 fn sent_after_sigterm(ledger: &Ledger) -> usize {
-    let is_sent_then = |one: &&Try| {
+    let is_sent_then = |one: &&ClientRequest| {
         ledger.stopped.iter().any(|span| span.proxy == one.proxy && (span.from..span.to).contains(&one.sent))
     };
-    ledger.tries.iter().filter(is_sent_then).count()
+    ledger.requests.iter().filter(is_sent_then).count()
 }
 
 /// Each fault in a thread of its own, at its time; returns once all have been begun and lifted. The threads end once
--- a/testbed/src/soak/signals.rs
+++ b/testbed/src/soak/signals.rs
@@ -51,12 +51,12 @@
         }
     }
 
-    pub(super) fn hold_up(&self, proxy: usize, length: f64) {
+    pub(super) fn suspend_and_resume(&self, proxy: usize, length: f64) {
         let from = Instant::now();
         self.signal(proxy, Signal::SIGSTOP);
         std::thread::sleep(Duration::from_secs_f64(length));
         self.signal(proxy, Signal::SIGCONT);
-        open(&self.ledger).held_up.push(Span { proxy, from, to: Instant::now() });
+        open(&self.ledger).suspended.push(Span { proxy, from, to: Instant::now() });
     }
 
     /// Stops a proxy by SIGTERM, among other signals, and starts it again. SIGKILL comes as early as it may; until then
@@ -136,7 +136,7 @@
         process.signal(Signal::SIGSTOP);
         std::thread::sleep(Duration::from_secs_f64(length));
         process.signal(Signal::SIGCONT);
-        open(&self.ledger).held_up.push(Span { proxy, from, to: Instant::now() });
+        open(&self.ledger).suspended.push(Span { proxy, from, to: Instant::now() });
     }
 
     pub(super) fn kill(&self, proxy: usize) {
--- a/testbed/src/soak/stage.rs
+++ b/testbed/src/soak/stage.rs
@@ -132,9 +132,9 @@
 
     /// Counts the violations that a process has logged.
     pub(super) fn note_log(&self, proxy: usize, process: &Process) {
-        // What comes late in a process that was held up is the hold-up's.
-        let held_up = open(&self.ledger).held_up.iter().any(|span| span.proxy == proxy);
-        let is_late = |line: &String| held_up && !line.contains("\"late_by\":0.0,");
+        // What comes late in a process that was suspended is the suspension's.
+        let was_suspended = open(&self.ledger).suspended.iter().any(|span| span.proxy == proxy);
+        let is_late = |line: &String| was_suspended && !line.contains("\"late_by\":0.0,");
         let is_violation = |line: &String| line.contains("\"violation\"") && !is_late(line);
         let is_reported = |line: &String| is_violation(line) || line.contains("panicked");
         let reported = process.log_lines().into_iter().filter(is_reported);
