--- a/src/proxy/server/connections.rs
+++ b/src/proxy/server/connections.rs
@@ -192,12 +192,7 @@
             abort: Notify::new(),
         });
         self.enter(&connection, phase);
-        tracing::debug!(
-            connection = connection.number,
-            open = self.open.get(),
-            is_admitted,
-            "connection accepted"
-        );
+        tracing::debug!(connection = connection.number, open = self.open.get(), "connection accepted");
         connection
     }
 
