Limit the memory of incomplete and waiting requests to what memory_mb leaves

Cause: the number of connections follows from the descriptors alone, and nothing limits the sum of what they store: a body of 64 KiB and hyper's buffer of up to 32 KiB for 2.6 s, a head of 32 KiB, and the same in flight. Nothing read limits.memory_mb.

Change: src/proxy/memory. Bytes beyond a connection's initial buffers are reserved in pools whose size is what memory_mb leaves. When a pool is used up, the incomplete request that has stalled for longest gives way: a body is answered 503, a head closed. A request of up to 8 KiB needs no reservation and never waits. A read takes at most 8 KiB and touches no more memory than it fills. Below 39 MB with 1,024 descriptors fewer connections are opened. An answer of which a client takes nothing for 10 s (1 s while answers wait for memory) is given up.

--- a/src/cli/proxy.rs
+++ b/src/cli/proxy.rs
@@ -9,6 +9,7 @@
 use linkhatch_proxy::proxy::engine::Engine;
 use linkhatch_proxy::proxy::fleet_settings;
 use linkhatch_proxy::proxy::list_cache::ListCache;
+use linkhatch_proxy::proxy::memory;
 use linkhatch_proxy::proxy::server::{self, Server};
 use linkhatch_proxy::telemetry::{self, metrics};
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 const RESERVED_DESCRIPTORS: usize = 48;
 /// The limit of open descriptors that is assumed if the system states none.
 const DEFAULT_DESCRIPTORS: usize = 1024;
+/// The number of connections that a process may open whatever its limit of memory.
+const MIN_CONNECTIONS: usize = 128;
 /// The initial wait before a configuration file that could not be read is read again.
 const MIN_RELOAD_BACKOFF: Duration = Duration::from_millis(20);
 /// The maximum wait before a configuration file that could not be read is read again.
@@ -63,6 +66,12 @@
 }
 
 impl ConnectionLimits {
+    /// The limits of a process that may open `descriptors` and use `memory_mb`.
+    fn new(descriptors: usize, memory_mb: usize) -> Self {
+        let affordable = memory::max_connections(memory_mb).max(MIN_CONNECTIONS) + RESERVED_DESCRIPTORS;
+        Self::from_descriptors(descriptors.min(affordable))
+    }
+
     /// Divides `descriptors`. Clients get the larger part: their requests use up to a third of all descriptors, and
     /// clients without requests connect too. A few connections beyond their limit are accepted in order to reject them.
     fn from_descriptors(descriptors: usize) -> Self {
@@ -72,6 +81,11 @@
             (available - backends) * server::PLACES_PER_OVERFLOW / (server::PLACES_PER_OVERFLOW + 1);
         Self { clients, backends }
     }
+
+    /// The maximum number of open connections, with the clients' that are accepted beyond their limit.
+    fn max_open(self) -> usize {
+        self.clients + self.clients / server::PLACES_PER_OVERFLOW + self.backends
+    }
 }
 
 /// Serves until SIGTERM.
@@ -88,7 +102,9 @@
     let reload = Signals::listen(SIGHUP)?;
     let listener = server::bind(config.listen)?;
     report(&format_args!("listening on {}", listener.local_addr()?));
-    let limits = ConnectionLimits::from_descriptors(allowed_descriptors(config.sockets));
+    let limits = ConnectionLimits::new(allowed_descriptors(config.sockets), config.memory_mb);
+    let max_peer_bytes = memory::max_peer_bytes(config.memory_mb, limits.max_open());
+    config.proxy_settings.max_peer_bytes = Some(max_peer_bytes);
     let engine = Engine::start(config.settings.clone(), &config.proxy_settings, config.seed, limits.backends);
     let (cache, known) = match config.list_cache {
         None => (None, config.known),
--- a/src/os/sockets.rs
+++ b/src/os/sockets.rs
@@ -5,6 +5,7 @@
 //! buffers, ports, routes) is temporary, and does not mean that the peer has failed. A read or a write may also be
 //! short for no stated reason, so only EAGAIN means that a caller has to wait.
 
+use bytes::BufMut;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -155,6 +156,21 @@
         }
     }
 
+    /// Reads at most `max_bytes` into the unfilled part of `buf`, and returns their number. Memory that no bytes are
+    /// read into is not touched.
+    pub fn poll_read_limited(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        max_bytes: usize,
+    ) -> Poll<io::Result<usize>> {
+        if buf.remaining() == 0 || max_bytes == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        let ready = |cx: &mut Context<'_>| self.0.poll_read_ready(cx);
+        Self::poll_call(cx, ready, || self.0.try_read_buf(&mut (&mut *buf).limit(max_bytes)))
+    }
+
     fn poll_write_call(
         &self,
         cx: &mut Context<'_>,
@@ -166,14 +182,7 @@
 
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        if buf.remaining() == 0 {
-            return Poll::Ready(Ok(()));
-        }
-        let unfilled = buf.initialize_unfilled();
-        let ready = |cx: &mut Context<'_>| self.0.poll_read_ready(cx);
-        let read = ready!(Self::poll_call(cx, ready, || self.0.try_read(unfilled)))?;
-        buf.advance(read);
-        Poll::Ready(Ok(()))
+        self.poll_read_limited(cx, buf, usize::MAX).map_ok(drop)
     }
 }
 
--- a/src/proxy/config/file.rs
+++ b/src/proxy/config/file.rs
@@ -21,6 +21,9 @@
 /// The permitted clock rates; fault tests use rates other than 1.
 const CLOCK_RATE_RANGE: RangeInclusive<f64> = 0.5..=2.0;
 
+/// The memory limit that is assumed if the file states none.
+const DEFAULT_MEMORY_MB: usize = 192;
+
 /// The whole configuration file.
 #[derive(Deserialize)]
 pub(super) struct ConfigFile {
@@ -54,9 +57,15 @@
 
 #[derive(Deserialize)]
 pub(super) struct ProcessLimits {
+    #[serde(default = "default_memory_mb")]
+    pub(super) memory_mb: usize,
     pub(super) sockets: usize,
 }
 
+fn default_memory_mb() -> usize {
+    DEFAULT_MEMORY_MB
+}
+
 /// The key `agreement`.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -250,6 +259,7 @@
             idle_close: duration("caps.idle-close", limits.idle_close)?,
             drain_grace: duration("rules.drain-grace", rules.drain_grace)?,
             max_open: limits.max_in_flight.unwrap_or(usize::MAX),
+            max_peer_bytes: None, // follows from the limits of the process
         };
         let settings = Settings {
             classes: self.classes.into_iter().map(ClassFile::into_class).collect::<Result<_, _>>()?,
--- a/src/proxy/config/mod.rs
+++ b/src/proxy/config/mod.rs
@@ -80,6 +80,8 @@
     pub seed: u64,
     /// The maximum number of file descriptors that the process may have open.
     pub sockets: usize,
+    /// The limit of the process's memory, above which it is killed, in MB of 2^20 bytes.
+    pub memory_mb: usize,
     /// The endpoint list to start with.
     pub known: EndpointList,
     /// The file that caches the endpoint list for a start without discovery; `None` means no cache.
@@ -129,6 +131,7 @@
             discovery,
             seed,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             known: file.known,
             list_cache: file.list_cache,
             agreement,
--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -10,6 +10,7 @@
 
 use super::clock::Clock;
 use super::forwarded_request::{ForwardedRequest, HeaderStamp};
+use super::memory::PeerMemory;
 use super::settings::ProxySettings;
 use super::upstream::{self, BackendResponse, ConnectionBudget};
 use super::watch_event::{ListedEndpoint, WatchEvent};
@@ -135,6 +136,7 @@
     before_decision: RefCell<Option<Box<dyn Fn()>>>,
     header_stamp: RefCell<Option<HeaderStamp>>,
     connection_budget: Rc<ConnectionBudget>,
+    memory: PeerMemory,
     guard: Rc<Guard>,
     maintenance_interval: Duration,
     max_in_flight: usize,
@@ -153,6 +155,7 @@
         max_connections: usize,
     ) -> Rc<Self> {
         let clock = Clock::start();
+        let memory = PeerMemory::new(proxy_settings.max_peer_bytes);
         let connection_budget = ConnectionBudget::new(max_connections);
         let engine = Rc::new_cyclic(|weak_self| Self {
             weak_self: weak_self.clone(),
@@ -166,6 +169,7 @@
             before_decision: RefCell::default(),
             header_stamp: RefCell::default(),
             connection_budget: connection_budget.clone(),
+            memory: memory.clone(),
             guard: Rc::new(Guard::new(telemetry::is_strict())),
             maintenance_interval: upstream::recent_use(proxy_settings.idle_close),
             max_in_flight: proxy_settings.max_open,
@@ -195,6 +199,11 @@
         &self.guard
     }
 
+    /// The memory for requests and responses.
+    pub fn memory(&self) -> &PeerMemory {
+        &self.memory
+    }
+
     /// The number of requests without a final answer.
     pub fn requests_in_flight(&self) -> usize {
         self.state.borrow().requests.len()
--- a/src/proxy/forwarded_request.rs
+++ b/src/proxy/forwarded_request.rs
@@ -2,6 +2,7 @@
 
 use crate::Time;
 use crate::guard::{AttemptHistory, Guard};
+use crate::proxy::memory::Reservation;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -20,6 +21,8 @@
     pub uri: Uri,
     /// The headers to forward.
     pub headers: HeaderMap,
+    /// The memory that the headers have reserved, if they are large.
+    pub head_reservation: Option<Reservation>,
     /// The body.
     pub body: Bytes,
     /// Whether it must not be executed twice.
@@ -37,6 +40,11 @@
 }
 
 impl ForwardedRequest {
+    /// Whether the headers are larger than the initial buffer of a connection.
+    pub fn has_large_head(&self) -> bool {
+        self.head_reservation.is_some()
+    }
+
     /// Returns the request to send for an attempt whose client waits for `remaining` more seconds.
     pub fn attempt(&self, remaining: Time) -> hyper::Request<Full<Bytes>> {
         let mut request = hyper::Request::new(Full::new(self.body.clone()));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet_settings;
 pub mod forwarded_request;
 pub mod list_cache;
+pub mod memory;
 pub mod server;
 pub mod settings;
 pub mod shared_stream;
--- a/src/proxy/server/client_connection.rs
+++ b/src/proxy/server/client_connection.rs
@@ -3,6 +3,7 @@
 use super::Server;
 use super::body::MAX_DISCARDED_BYTES;
 use super::connections::ConnectionState;
+use crate::proxy::memory::HeadMemory;
 use crate::proxy::shared_stream::{SharedStream, Unread};
 use crate::telemetry::metrics::{self, CountedEvent};
 use crate::telemetry::reason::CloseReason;
@@ -27,7 +28,8 @@
 impl ClientConnection {
     /// Registers a new connection, which is idle at first.
     pub(super) fn open(server: Rc<Server>, stream: TcpStream) -> Self {
-        let stream = SharedStream::with_gauge(stream, server.connections.unsent_gauge());
+        let head = HeadMemory::of_requests(server.engine.memory().request_heads.clone());
+        let stream = SharedStream::of_client(stream, server.connections.unsent_gauge(), head);
         let state = server.connections.add(stream.clone());
         Self { server, stream, state }
     }
--- a/src/proxy/server/handler.rs
+++ b/src/proxy/server/handler.rs
@@ -1,12 +1,13 @@
 //! Answers one request: with the readiness, or with the engine's answer.
 
 use super::Server;
-use super::body::read_body;
+use super::body::{BodyError, read_body};
 use super::request_head::{self, HeadError};
 use super::responses::{self, ClientResponse};
 use crate::guard::AttemptHistory;
 use crate::proxy::engine::{Answer, Engine};
 use crate::proxy::forwarded_request::ForwardedRequest;
+use crate::proxy::memory::Reservation;
 use crate::proxy::shared_stream::SharedStream;
 use crate::telemetry::metrics::{self, CountedEvent};
 use crate::telemetry::reason::Rejection;
@@ -28,7 +29,6 @@
 pub(super) struct ClientDisconnected;
 
 /// The state of a request's connection that the handler uses.
-#[derive(Clone, Copy)]
 pub(super) struct RequestContext<'a> {
     /// The number of the connection.
     pub(super) connection: u64,
@@ -37,6 +37,8 @@
     pub(super) is_admitted: bool,
     /// When the request must have arrived completely.
     pub(super) read_deadline: Instant,
+    /// The memory that the head has reserved, if it is large.
+    pub(super) head_reservation: Option<Reservation>,
 }
 
 /// Reports to the engine on drop that the client has disconnected; has no effect once the request is answered.
@@ -65,9 +67,9 @@
             return Ok(self.readiness());
         }
         let (head, body) = request.into_parts();
-        let body = match read_body(body, context.read_deadline).await {
+        let body = match read_body(body, context.read_deadline, &self.engine.memory().request_bodies).await {
             Ok(body) => body,
-            Err(error) => return Ok(responses::text(error.status(), format!("{error}\n"))),
+            Err(error) => return Ok(incomplete_request(&error)),
         };
         let parsed = request_head::parse(&head.headers, &self.proxy_settings, &self.settings.borrow());
         let request = match parsed {
@@ -98,10 +100,11 @@
         body: Bytes,
         context: RequestContext<'_>,
     ) -> Result<ClientResponse, ClientDisconnected> {
-        let RequestContext { connection, stream, .. } = context;
+        let RequestContext { connection, stream, head_reservation, .. } = context;
         let (id, budget) = (request.id, request.timeout);
         tracing::debug!(%id, connection, class = request.class, budget, "request received");
-        let forwarded = self.forwarded_request(request.class, head, body, stream);
+        let mut forwarded = self.forwarded_request(request.class, head, body, stream);
+        forwarded.head_reservation = head_reservation;
         let Some(answer) = self.engine.submit(request, forwarded) else {
             return Ok(bad_request(&HeadError::UsedRequestId));
         };
@@ -135,6 +138,7 @@
             method: head.method,
             uri: head.uri,
             headers,
+            head_reservation: None,
             body,
             is_non_idempotent: idempotency == Idempotency::NonIdempotent,
             history: AttemptHistory::new(idempotency),
@@ -150,6 +154,15 @@
     }
 }
 
+fn incomplete_request(error: &BodyError) -> ClientResponse {
+    if matches!(error, BodyError::OutOfMemory) {
+        let reason = Rejection::OutOfMemory;
+        metrics::count(CountedEvent::RequestRejected(reason));
+        tracing::debug!(reason = reason.label(), "rejected");
+    }
+    responses::text(error.status(), format!("{error}\n"))
+}
+
 fn bad_request(error: &HeadError) -> ClientResponse {
     responses::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
 }
--- a/src/proxy/server/lifecycle.rs
+++ b/src/proxy/server/lifecycle.rs
@@ -8,6 +8,7 @@
 use super::Server;
 use super::client_connection::ClientConnection;
 use super::handler::{ClientDisconnected, RequestContext};
+use crate::proxy::memory::{HeadMemory, MAX_HEAD_BYTES};
 use crate::proxy::shared_stream::{SharedStream, Unread};
 use crate::telemetry::reason::CloseReason;
 use bytes::Bytes;
@@ -31,8 +32,6 @@
 /// How long a request may take to arrive completely: for the first request from when its connection was accepted, for
 /// later ones from when their head has arrived.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2600);
-/// The maximum size of the head of a request.
-const MAX_HEAD_BYTES: usize = 32 << 10;
 
 type Connection<S> = http1::Connection<TokioIo<SharedStream>, S>;
 
@@ -64,9 +63,14 @@
             let read_deadline =
                 first_read_deadline.take().unwrap_or_else(|| Instant::now() + REQUEST_READ_TIMEOUT);
             let is_admitted = client.begin_request();
-            let context = RequestContext { connection: client.number(), stream, is_admitted, read_deadline };
+            let head_reservation = stream.head_memory().and_then(HeadMemory::end_head);
+            let connection = client.number();
+            let context = RequestContext { connection, stream, is_admitted, read_deadline, head_reservation };
             let mut response = self.respond(request, context).await?;
             let is_last = client.end_request();
+            if let Some(head) = stream.head_memory() {
+                head.begin_head();
+            }
             if is_last {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/src/proxy/server/listener.rs
+++ b/src/proxy/server/listener.rs
@@ -36,7 +36,11 @@
         let _ = stream.set_nodelay(true); // without it, the connection works with more delay
         let client = ClientConnection::open(self, stream);
         tokio::task::spawn_local(async move {
-            let reason = client.server.serve_connection(&client).await;
+            let reason = tokio::select! {
+                biased;
+                reason = client.server.serve_connection(&client) => reason,
+                reason = client.memory_withdrawn() => reason,
+            };
             client.record_close(reason);
             client.linger(reason).await;
         });
--- a/src/proxy/server/mod.rs
+++ b/src/proxy/server/mod.rs
@@ -10,6 +10,7 @@
 mod handler;
 mod lifecycle;
 mod listener;
+mod peer_limits;
 mod request_head;
 mod responses;
 mod shutdown;
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -19,6 +19,8 @@
     pub drain_grace: Duration,
     /// The maximum number of requests in flight.
     pub max_open: usize,
+    /// How many bytes of requests and responses may be stored; `None` means any number.
+    pub max_peer_bytes: Option<usize>,
 }
 
 /// Returns the index of a zone, and adds the zone if it is new.
--- a/src/proxy/shared_stream.rs
+++ b/src/proxy/shared_stream.rs
@@ -5,6 +5,7 @@
 //! the connection before closing it.
 
 use crate::os::sockets::{Failure, Socket, classify, retry_interrupted};
+use crate::proxy::memory::{HeadMemory, INITIAL_BUFFER_BYTES};
 use bytes::Bytes;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,7 @@
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -26,6 +27,9 @@
 /// The size of the buffer for discarded bytes.
 const DRAIN_BUFFER_BYTES: usize = 4096;
 
+/// The most that is read at once. Hyper enlarges its buffer after each read that fills it.
+const MAX_READ_BYTES: usize = INITIAL_BUFFER_BYTES - 1;
+
 /// What the system has received on a connection and this process has not read yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unread {
@@ -52,8 +56,12 @@
     sent_at: Cell<Option<Instant>>,
     /// When bytes were last read from the system.
     received_at: Cell<Option<Instant>>,
+    /// When unsent bytes were last handed to the system, or began to wait for that.
+    send_progressed_at: Cell<Instant>,
     /// Counts the connections with unsent bytes.
     unsent_gauge: UnsentGauge,
+    /// The memory for the head that is being read.
+    head: Option<HeadMemory>,
 }
 
 /// A handle to a shared TCP stream; clones are handles to the same stream.
@@ -63,11 +71,21 @@
 impl SharedStream {
     /// Shares a connected socket.
     pub fn new(stream: TcpStream) -> Self {
-        Self::with_gauge(stream, UnsentGauge::default())
+        Self::build(stream, UnsentGauge::default(), None)
+    }
+
+    /// Shares a connected socket that reserves memory for the heads that are read.
+    pub fn with_head_memory(stream: TcpStream, head: HeadMemory) -> Self {
+        Self::build(stream, UnsentGauge::default(), Some(head))
+    }
+
+    /// Shares a client's socket: it is counted in `unsent_gauge` while it has unsent bytes, and reserves memory for the
+    /// heads that are read.
+    pub fn of_client(stream: TcpStream, unsent_gauge: UnsentGauge, head: HeadMemory) -> Self {
+        Self::build(stream, unsent_gauge, Some(head))
     }
 
-    /// Shares a connected socket that is counted in `unsent_gauge` while it has unsent bytes.
-    pub fn with_gauge(stream: TcpStream, unsent_gauge: UnsentGauge) -> Self {
+    fn build(stream: TcpStream, unsent_gauge: UnsentGauge, head: Option<HeadMemory>) -> Self {
         Self(Rc::new(Inner {
             socket: RefCell::new(Socket::new(stream)),
             pushed_back: RefCell::default(),
@@ -75,10 +93,17 @@
             has_unsent_bytes: Cell::default(),
             sent_at: Cell::default(),
             received_at: Cell::default(),
+            send_progressed_at: Cell::new(Instant::now()),
             unsent_gauge,
+            head,
         }))
     }
 
+    /// The memory for the head that is being read, if it is limited.
+    pub fn head_memory(&self) -> Option<&HeadMemory> {
+        self.0.head.as_ref()
+    }
+
     /// Puts back bytes that were read but not used: they are read again before anything else.
     pub fn push_back(&self, bytes: Bytes) {
         self.0.pushed_back.replace(bytes);
@@ -99,6 +124,11 @@
         self.0.sent_at.get()
     }
 
+    /// When unsent bytes were last handed to the system, or began to wait for that.
+    pub fn send_progressed_at(&self) -> Instant {
+        self.0.send_progressed_at.get()
+    }
+
     /// When bytes were last read from the system.
     pub fn received_at(&self) -> Option<Instant> {
         self.0.received_at.get()
@@ -154,6 +184,9 @@
     /// bytes would reset the connection, and the last written bytes would be lost (RFC 9112, section 9.6).
     pub async fn drain(mut self, max_bytes: usize) {
         self.0.set_unsent(false); // bytes that hyper has not written are never written
+        if let Some(head) = &self.0.head {
+            drop(head.end_head()); // what is read is discarded
+        }
         if self.0.has_read_end.get() {
             return;
         }
@@ -188,12 +221,29 @@
 }
 
 impl Inner {
+    fn record_read(&self, bytes: usize) {
+        if bytes > 0 {
+            self.received_at.set(Some(Instant::now()));
+        }
+        if let Some(head) = &self.head {
+            head.record_read(bytes);
+        }
+    }
+
+    /// Records the result of a write.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.send_progressed_at.set(Instant::now());
+        }
+    }
+
     fn set_unsent(&self, has_unsent: bool) {
         if self.has_unsent_bytes.replace(has_unsent) != has_unsent {
             let others = self.unsent_gauge.get() - usize::from(!has_unsent);
             self.unsent_gauge.set(others + usize::from(has_unsent));
-            if !has_unsent {
-                self.sent_at.set(Some(Instant::now()));
+            match has_unsent {
+                true => self.send_progressed_at.set(Instant::now()),
+                false => self.sent_at.set(Some(Instant::now())),
             }
         }
     }
@@ -213,24 +263,25 @@
             buf.put_slice(&pushed_back.split_to(length));
             return Poll::Ready(Ok(()));
         }
-        let (filled_before, capacity) = (buf.filled().len(), buf.remaining());
-        let read = Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, buf);
-        if let Poll::Ready(result) = &read {
-            let has_received = buf.filled().len() > filled_before;
-            if has_received {
-                self.0.received_at.set(Some(Instant::now()));
-            }
-            let is_end = capacity > 0 && !has_received;
-            self.0.has_read_end.set(self.0.has_read_end.get() || is_end || result.is_err());
+        if let Some(head) = &self.0.head {
+            ready!(head.poll_ready(cx));
         }
-        read
+        let has_capacity = buf.remaining() > 0;
+        let read = ready!(self.0.socket.borrow().poll_read_limited(cx, buf, MAX_READ_BYTES));
+        let received_bytes = *read.as_ref().unwrap_or(&0);
+        self.0.record_read(received_bytes);
+        let is_end = has_capacity && received_bytes == 0;
+        self.0.has_read_end.set(self.0.has_read_end.get() || is_end);
+        Poll::Ready(read.map(drop))
     }
 }
 
 impl AsyncWrite for SharedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.0.set_unsent(true);
-        Pin::new(&mut *self.0.socket.borrow_mut()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.0.socket.borrow_mut()).poll_write(cx, buf);
+        self.0.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -239,7 +290,9 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.0.set_unsent(true);
-        Pin::new(&mut *self.0.socket.borrow_mut()).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.0.socket.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.0.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/telemetry/reason.rs
+++ b/src/telemetry/reason.rs
@@ -41,6 +41,10 @@
     Evicted,
     /// No request arrived for too long.
     IdleTimeout,
+    /// The head of its request was incomplete when the memory for requests was used up.
+    OutOfMemory,
+    /// Its client has not taken any of an answer for too long.
+    SendTimeout,
 }
 
 labels!(CloseReason {
@@ -48,6 +52,8 @@
     ShuttingDown => "Stopping",
     Evicted => "Evicted",
     IdleTimeout => "Idle",
+    OutOfMemory => "Memory",
+    SendTimeout => "Unread",
 });
 
 /// Why a request is rejected: it was not executed, and the client may retry it.
@@ -63,6 +69,8 @@
     TooManyRequests,
     /// The maximum number of connections is open.
     TooManyConnections,
+    /// The memory for requests is used up.
+    OutOfMemory,
 }
 
 labels!(Rejection {
@@ -71,6 +79,7 @@
     NoResponse => "Unserved",
     TooManyRequests => "OpenRequests",
     TooManyConnections => "Connections",
+    OutOfMemory => "Memory",
 });
 
 /// Why an attempt that was decided on is not sent.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -612,6 +612,7 @@
         method: "POST".parse().unwrap(),
         uri: "/api".parse().unwrap(),
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        head_reservation: None,
         body: "body".into(),
         is_non_idempotent: non_idempotent,
         history: Default::default(),
--- a/tests/scales.rs
+++ b/tests/scales.rs
@@ -27,6 +27,7 @@
         method: "GET".parse().unwrap(),
         uri: "/api".parse().unwrap(),
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        head_reservation: None,
         body: "".into(),
         is_non_idempotent,
         history: Default::default(),
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -87,6 +87,7 @@
             method: "GET".parse().unwrap(),
             uri: "/api".parse().unwrap(),
             headers: Default::default(),
+            head_reservation: None,
             body: "".into(),
             is_non_idempotent: false,
             history: Default::default(),
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -24,6 +24,7 @@
         method: "POST".parse().unwrap(),
         uri: "/api".parse().unwrap(),
         headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
+        head_reservation: None,
         body: "body".into(),
         is_non_idempotent: false,
         history: Default::default(),
