Limit the memory of answers, and copy them out of the library's buffers

Thirty sound requests whose answers of 64 KiB come in pieces of 256 bytes take a proxy of 32 MB to 114.8 MB, 60 answers that never end to 492.6 MB, and answers that clients do not read to 121.6 MB (1,024 descriptors).

Cause: Limited::collect keeps each frame of a body, and each frame references a read buffer of 8 KiB or more, whatever it holds: an answer of 64 KiB in 256 pieces costs 2 MB. Heads of answers could grow to 400 KB, and nothing limited the sum of answers that are read, or wait for their clients.

Change: a body is copied into a buffer of its own, and what it needs beyond 8 KiB is reserved before it is read on, all at once, so that no two answers wait for each other. The reservation lasts until the client has taken the answer. A head is limited to 32 KiB, and a connection whose buffers have grown is not reused.

--- a/src/proxy/engine/mod.rs
+++ b/src/proxy/engine/mod.rs
@@ -156,7 +156,7 @@
     ) -> Rc<Self> {
         let clock = Clock::start();
         let memory = PeerMemory::new(proxy_settings.max_peer_bytes);
-        let connection_budget = ConnectionBudget::new(max_connections);
+        let connection_budget = ConnectionBudget::with_memory(max_connections, memory.responses.clone());
         let engine = Rc::new_cyclic(|weak_self| Self {
             weak_self: weak_self.clone(),
             clock,
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -6,12 +6,13 @@
 use crate::guard::{AttemptState, Invariant, Permit as SendPermit};
 use crate::proxy::clock::Clock;
 use crate::proxy::forwarded_request::ForwardedRequest;
+use crate::proxy::memory::{INITIAL_BUFFER_BYTES, MemoryPool, ReservedBuffer};
 use crate::telemetry::metrics::{self, CountedEvent};
 use crate::telemetry::reason::DropReason;
 use crate::{Outcome, Time};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -81,7 +82,7 @@
     is_written: &Cell<bool>,
 ) -> Result<AttemptResult, Outcome> {
     let epoch = endpoint.epoch();
-    let (connection, response) = loop {
+    let (mut connection, response) = loop {
         let (mut upstream, permit) = connect(endpoint, request, clock, limits).await?;
         let send_permit = match admit(endpoint, request, clock, limits) {
             Ok(send_permit) => send_permit,
@@ -100,7 +101,12 @@
             _ => return Err(Outcome::Reset),
         }
     };
-    read_response(endpoint, connection, epoch, response).await
+    let result = read_response(&mut connection, response).await?;
+    // A connection whose buffers have grown is closed, which releases them.
+    if !request.has_large_head() && !result.has_large_head {
+        endpoint.store(connection, epoch, true);
+    }
+    Ok(result.attempt)
 }
 
 /// Acquires a connection for the attempt.
@@ -142,24 +148,54 @@
     })
 }
 
+/// A complete response.
+struct CompleteResponse {
+    attempt: AttemptResult,
+    /// Whether its head was larger than the connection's initial buffer.
+    has_large_head: bool,
+}
+
 async fn read_response(
-    endpoint: &Endpoint,
-    (mut upstream, permit): PooledConnection,
-    epoch: u64,
+    (upstream, permit): &mut PooledConnection,
     response: Response<Incoming>,
-) -> Result<AttemptResult, Outcome> {
+) -> Result<CompleteResponse, Outcome> {
+    let head_reservation = upstream.end_head();
     let (head, body) = response.into_parts();
-    let body = read_body(&mut upstream, body).await.ok_or(Outcome::Reset)?;
-    endpoint.store((upstream, permit), epoch, true);
+    let body = read_body(upstream, body, permit.responses()).await.ok_or(Outcome::Reset)?;
     let outcome = outcome_of(&head);
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
+    let content_type = head.headers.get(CONTENT_TYPE).and_then(copy);
     let response = (outcome == Outcome::Served).then_some(BackendResponse { body, content_type });
-    Ok(AttemptResult { outcome, response })
+    let attempt = AttemptResult { outcome, response };
+    Ok(CompleteResponse { attempt, has_large_head: head_reservation.is_some() })
 }
 
-async fn read_body(upstream: &mut UpstreamConnection, body: Incoming) -> Option<Bytes> {
-    let collected = upstream.drive(Limited::new(body, MAX_BODY_BYTES).collect()).await?.ok()?;
-    Some(collected.to_bytes())
+/// Copies a value: the original references the whole buffer of its head.
+fn copy(value: &HeaderValue) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(value.as_bytes()).ok()
+}
+
+/// Reads the body of a response; returns `None` if it is too long or breaks off. The bytes are copied: each frame
+/// references a whole read buffer, which would make a body that comes in small pieces many times larger.
+async fn read_body(
+    upstream: &mut UpstreamConnection,
+    mut body: Incoming,
+    memory: &MemoryPool,
+) -> Option<Bytes> {
+    let declared_bytes = body.size_hint().upper().unwrap_or(MAX_BODY_BYTES as u64);
+    let max_bytes = usize::try_from(declared_bytes).ok().filter(|bytes| *bytes <= MAX_BODY_BYTES)?;
+    let mut buffer = ReservedBuffer::default();
+    while let Some(frame) = upstream.drive(body.frame()).await? {
+        let data = frame.ok()?.into_data().unwrap_or_default();
+        if buffer.as_ref().len() + data.len() > max_bytes {
+            return None;
+        }
+        if buffer.missing_bytes(data.len()) > 0 {
+            // All that the body may need, so that no two responses wait for each other's memory.
+            buffer.add(memory.reserve(max_bytes - INITIAL_BUFFER_BYTES).await);
+        }
+        buffer.extend(&data);
+    }
+    Some(buffer.into_bytes())
 }
 
 fn outcome_of(head: &Parts) -> Outcome {
--- a/src/proxy/upstream/budget.rs
+++ b/src/proxy/upstream/budget.rs
@@ -1,5 +1,7 @@
-//! Limits for the connections to all backends: how many may be open, and how long they may be idle.
+//! Limits for the connections to all backends: how many may be open, how long they may be idle, and the memory for
+//! responses on them.
 
+use crate::proxy::memory::{MemoryPool, PeerMemory};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,15 +18,28 @@
     /// The shortest time that a connection was idle before its backend closed it. There is one value for all backends,
     /// since those of a tier behave alike and each proxy rarely uses its connections to most of them.
     shortest_idle_lifetime: Cell<Duration>,
+    /// The memory for responses.
+    responses: Rc<MemoryPool>,
 }
 
 /// A permit for one open connection; dropping it returns it to the budget.
 pub(super) struct ConnectionPermit(Rc<ConnectionBudget>);
 
 impl ConnectionBudget {
-    /// Returns a budget of `max` open connections.
+    /// Returns a budget of `max` open connections whose responses may use any amount of memory.
     pub fn new(max: usize) -> Rc<Self> {
-        Rc::new(Self { open: Cell::new(0), max, shortest_idle_lifetime: Cell::new(Duration::MAX) })
+        Self::with_memory(max, PeerMemory::new(None).responses)
+    }
+
+    /// Returns a budget of `max` open connections whose responses use the memory of `responses`.
+    pub fn with_memory(max: usize, responses: Rc<MemoryPool>) -> Rc<Self> {
+        let shortest_idle_lifetime = Cell::new(Duration::MAX);
+        Rc::new(Self { open: Cell::new(0), max, shortest_idle_lifetime, responses })
+    }
+
+    /// The memory for responses.
+    pub fn responses(&self) -> &Rc<MemoryPool> {
+        &self.responses
     }
 
     /// Whether the maximum number of connections is open.
@@ -54,6 +69,11 @@
 }
 
 impl ConnectionPermit {
+    /// The memory for responses.
+    pub(super) fn responses(&self) -> &Rc<MemoryPool> {
+        self.0.responses()
+    }
+
     /// Records that a backend closed a connection that had been idle for `idle`.
     pub(super) fn record_idle_lifetime(&self, idle: Duration) {
         let shortest = &self.0.shortest_idle_lifetime;
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -4,6 +4,7 @@
 use crate::os::sockets;
 use crate::proxy::clock::Clock;
 use crate::proxy::forwarded_request::ForwardedRequest;
+use crate::proxy::memory::{HeadMemory, MAX_HEAD_BYTES, MemoryPool, Reservation};
 use crate::proxy::shared_stream::{SharedStream, Unread};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,6 +16,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -43,20 +45,44 @@
 /// The error of a request that was not sent or failed. It contains the request if none of it was written.
 pub type SendError = TrySendError<Request<Full<Bytes>>>;
 
-/// Opens a connection to a server.
+/// Opens a connection to discovery, whose responses use any amount of memory.
 ///
 /// # Errors
 /// The system's error, or a timeout.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<UpstreamConnection> {
     let stream = tokio::time::timeout(timeout, sockets::connect(address)).await??;
-    let stream = SharedStream::new(stream);
-    let handshake = http1::handshake(TokioIo::new(stream.clone()));
+    start(SharedStream::new(stream)).await
+}
+
+/// Opens a connection to a backend, whose responses use the memory of `responses`.
+///
+/// # Errors
+/// The system's error, or a timeout.
+pub(super) async fn connect_to_backend(
+    address: SocketAddr,
+    timeout: Duration,
+    responses: Rc<MemoryPool>,
+) -> io::Result<UpstreamConnection> {
+    let stream = tokio::time::timeout(timeout, sockets::connect(address)).await??;
+    start(SharedStream::with_head_memory(stream, HeadMemory::of_responses(responses))).await
+}
+
+/// Starts HTTP/1.1 on a connected stream.
+async fn start(stream: SharedStream) -> io::Result<UpstreamConnection> {
+    let mut http_builder = http1::Builder::new();
+    http_builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = http_builder.handshake(TokioIo::new(stream.clone()));
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     let driver = Driver { connection: Box::pin(connection), end: None };
     Ok(UpstreamConnection { sender, driver, stream })
 }
 
 impl UpstreamConnection {
+    /// Records that the head of a response has been read. Returns the memory that it has reserved, if it is large.
+    pub(super) fn end_head(&self) -> Option<Reservation> {
+        self.stream.head_memory().and_then(HeadMemory::end_head)
+    }
+
     /// Drives the connection until `future` completes; returns `None` if the connection ends first.
     pub async fn drive<F: Future>(&mut self, future: F) -> Option<F::Output> {
         self.driver.drive(future).await
@@ -78,6 +104,9 @@
         permit: SendPermit,
         clock: &Clock,
     ) -> Option<Result<Response<Incoming>, SendError>> {
+        if let Some(head) = self.stream.head_memory() {
+            head.begin_head();
+        }
         let mut sent = pin!(self.sender.try_send_request(request.attempt(permit.remaining())));
         let mut permit = Some(permit);
         let mut is_queued = false;
--- a/src/proxy/upstream/pending.rs
+++ b/src/proxy/upstream/pending.rs
@@ -1,7 +1,7 @@
 //! Connections that are being established.
 
 use super::budget::ConnectionPermit;
-use super::connection::{UpstreamConnection, connect};
+use super::connection::{UpstreamConnection, connect_to_backend};
 use super::pool::{Endpoint, PooledConnection};
 use std::future::Future;
 use std::io;
@@ -26,7 +26,7 @@
     fn begin(endpoint: &Endpoint, permit: ConnectionPermit, deadline: Instant) -> Self {
         let address = endpoint.address();
         let timeout = endpoint.connect_timeout().max(deadline.saturating_duration_since(Instant::now()));
-        let connecting = Box::pin(connect(address, timeout));
+        let connecting = Box::pin(connect_to_backend(address, timeout, permit.responses().clone()));
         Self { connecting, address, permit, deadline, epoch: endpoint.epoch() }
     }
 
--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -356,3 +356,47 @@
         })
     });
 }
+
+/// Guards against the same through answers that clients do not read.
+#[test]
+fn clients_that_do_not_read_their_answers_stay_within_the_memory_limit() {
+    check("unread answers", Backends::Busy, |limits, proxy| {
+        all(limits.peers(), move || async move {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(2048).unwrap();
+            let Ok(mut stream) = socket.connect(proxy).await else { return };
+            for _ in 0..40 {
+                let _ = stream.write_all(&request("/long", "", 0)).await;
+            }
+            sleep(Duration::from_secs(3)).await;
+        })
+    });
+}
+
+/// Guards against answers that come in small pieces: each piece kept a whole read buffer.
+#[test]
+fn answers_in_small_pieces_stay_within_the_memory_limit() {
+    check("answers in pieces", Backends::Idle, |_, proxy| {
+        all(30, move || async move {
+            let mut stream = TcpStream::connect(proxy).await.unwrap();
+            stream.write_all(&request("/pieces", "", 0)).await.unwrap();
+            let answer = timeout(STEP_TIMEOUT, read_message(&mut stream)).await.unwrap().unwrap();
+            assert!(answer.0.starts_with("http/1.1 200"), "{}", answer.0);
+            assert!(answer.1 == vec![b'y'; MAX_BODY_BYTES], "{} bytes", answer.1.len());
+        })
+    });
+}
+
+/// Guards against answers of backends that never end.
+#[test]
+fn endless_answers_stay_within_the_memory_limit() {
+    check("endless answers", Backends::Busy, |_, proxy| {
+        all(60, move || async move {
+            for path in ["/endless-head", "/endless-body"] {
+                let mut stream = TcpStream::connect(proxy).await.unwrap();
+                stream.write_all(&request(path, "", 0)).await.unwrap();
+                let _ = timeout(Duration::from_secs(2), read_message(&mut stream)).await;
+            }
+        })
+    });
+}
