Copy replies of the fleet's services out of the library's read buffers

Cause: as for answers of backends, each frame of a collected body references a whole read buffer. A list of 1 MiB that comes in pieces of 100 bytes could cost 80 MB; suspected from reading, not played: discovery has 0.6 s for a body.

Change: read_limited copies the body, for the proxy's discovery, the followers and a lease's holder.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,8 +1,9 @@
 //! An HTTP/1.1 client for one address, for the calls of nodes and proxies to the list service.
 
 use crate::os::sockets::{self, Socket};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -27,7 +28,7 @@
     Http(#[from] hyper::Error),
     /// The reply's body could not be read, or is too long.
     #[error("body: {0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     /// The status is not the one expected.
     #[error("status {0}")]
     Status(StatusCode),
@@ -39,6 +40,17 @@
     Timeout,
 }
 
+/// Why a body could not be read.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The connection failed.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// The body is too long.
+    #[error("longer than {0} bytes")]
+    TooLong(usize),
+}
+
 /// A client for one address. It connects for the first call and reuses the connection for further calls. After any
 /// failure it reconnects, so that a connection that a fault has made unresponsive costs one timeout.
 pub struct HttpClient {
@@ -81,8 +93,25 @@
     };
     sender.ready().await?;
     let (head, body) = sender.send_request(request).await?.into_parts();
-    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.map_err(CallError::Body)?;
-    Ok((sender, Response::from_parts(head, body.to_bytes())))
+    let body = read_limited(body, MAX_REPLY_BYTES).await?;
+    Ok((sender, Response::from_parts(head, body)))
+}
+
+/// Reads a body of at most `max_bytes`. Its bytes are copied: each frame references a whole read buffer, which would
+/// make a body that comes in small pieces many times larger.
+///
+/// # Errors
+/// Fails if the connection fails, or if the body is longer.
+pub async fn read_limited(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let mut complete = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame?.into_data().unwrap_or_default();
+        if complete.len() + data.len() > max_bytes {
+            return Err(BodyError::TooLong(max_bytes));
+        }
+        complete.extend_from_slice(&data);
+    }
+    Ok(complete.freeze())
 }
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
--- a/src/lease/holder/service.rs
+++ b/src/lease/holder/service.rs
@@ -1,9 +1,9 @@
 //! A holder's calls: to the list service for its lease, and to the resource that its duty acts on.
 
-use crate::http_client::CallError;
+use crate::http_client::{CallError, read_limited};
 use crate::os::sockets::{self, Socket};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -145,8 +145,8 @@
         tokio::task::spawn_local(connection);
         let reply = sender.send_request(request).await?;
         let status = reply.status();
-        let body = Limited::new(reply.into_body(), MAX_REPLY_BYTES).collect().await;
-        Ok(Reply { status, body: body.map(http_body_util::Collected::to_bytes).unwrap_or_default() })
+        let body = read_limited(reply.into_body(), MAX_REPLY_BYTES).await;
+        Ok(Reply { status, body: body.unwrap_or_default() })
     });
     exchange.await.unwrap_or(Err(CallError::Timeout))
 }
--- a/src/proxy/discovery/client.rs
+++ b/src/proxy/discovery/client.rs
@@ -1,10 +1,11 @@
 //! One poll of discovery: a long-polling HTTP request for the changes since a revision.
 
 use super::Discovery;
+use crate::http_client::{BodyError, read_limited};
 use crate::proxy::endpoint_list::EndpointList;
 use crate::proxy::upstream::{self, UpstreamConnection};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use std::time::Duration;
 use thiserror::Error;
@@ -30,7 +31,7 @@
     #[error("unexpected status {0}")]
     Status(u16),
     #[error("cannot read the body: {0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     #[error("invalid list: {0}")]
     Parse(#[from] serde_json::Error),
     #[error("revision {0} is older than the known list")]
@@ -71,15 +72,14 @@
         };
         let response = upstream.send(request).await.ok_or(PollError::Disconnected)?;
         let response = response.map_err(hyper::client::conn::TrySendError::into_error)?;
-        let (status, body) = (response.status(), Limited::new(response.into_body(), MAX_LIST_BYTES));
-        let body = tokio::time::timeout(RESPONSE_TIMEOUT, upstream.drive(body.collect())).await;
-        let body = body.map_err(|_| PollError::Timeout)?.ok_or(PollError::Disconnected)?;
-        let body = body.map_err(PollError::Body)?;
+        let (status, body) = (response.status(), read_limited(response.into_body(), MAX_LIST_BYTES));
+        let body = tokio::time::timeout(RESPONSE_TIMEOUT, upstream.drive(body)).await;
+        let body = body.map_err(|_| PollError::Timeout)?.ok_or(PollError::Disconnected)??;
         if !status.is_success() {
             return Err(PollError::Status(status.as_u16()));
         }
         *connection = upstream.checked().ok();
-        Ok(body.to_bytes())
+        Ok(body)
     }
 
     /// Rejects a list that is older than the known one: old changes would bring back backends that have since been
