--- a/review/7/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 7: discovery gets slow, each answer 1 s late, and a backend begins to drain: it gets new requests for as long as
+"""Case 9: discovery gets slow, each answer 1 s late, and a backend begins to drain: it gets new requests for as long as
 discovery stays slow.
 
 One proxy with the settings of the site, six backends, a discovery stand-in and a client with four connections.
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import queue
 import shutil
 import signal
 import socket
@@ -86,6 +87,18 @@
         connection.close()
 
 
+def node_status(port):
+    """A list-service node's status; with "error" where it answers none."""
+    status, text = call(port, "GET", "/v1/status", timeout=0.5)
+    return json.loads(text) if status == 200 else {"error": text[:140]}
+
+
+def leader_of(ports):
+    """The index of the node that leads, by the first node that knows one; None without."""
+    leaders = [node_status(port).get("leader") for port in ports]
+    return next((leader - 1 for leader in leaders if leader), None)
+
+
 def wait_for(condition, seconds, what):
     """Waits until `condition()` is true; the case cannot run if it stays false."""
     end = time.monotonic() + seconds
@@ -156,6 +169,21 @@
         self.wait_ready(port)
         return node
 
+    def cluster(self, delay_s=0.0):
+        """Three list-service nodes with their logs on disk, `delay_s` from each other. Returns their processes, their
+        ports, and the relays between them by (from, to) where there is a delay or a relay is wanted."""
+        ports = [free_port() for _ in range(3)]
+        pairs = [(a, b) for a in range(3) for b in range(3) if a != b]
+        relays = {pair: Relay(ports[pair[1]], delay_s) for pair in pairs}
+        nodes = []
+        for n in range(3):
+            peers = ", ".join(f'{{ node = {p + 1}, address = "127.0.0.1:{relays[n, p].port}" }}'
+                              for p in range(3) if p != n)
+            config = self.write(f"node-{n + 1}.toml", f'listen = "127.0.0.1:{ports[n]}"\nnode = {n + 1}\n'
+                                f'peers = [{peers}]\ndata_dir = "{self.path(f"data-{n + 1}")}"\n')
+            nodes.append(self.program(f"node-{n + 1}", f"registry --config {config}"))
+        return nodes, ports, relays
+
     def wait_ready(self, port, seconds=10):
         wait_for(lambda: call(port, "GET", "/-/ready", timeout=0.5)[0] == 200, seconds, f"ready at {port}")
 
@@ -376,10 +404,10 @@
 
 
 class Relay:
-    """A TCP relay to a port. While it is cut, open connections and new ones stay silent."""
+    """A TCP relay to a port, `delay_s` long each way. While it is cut, open connections and new ones stay silent."""
 
-    def __init__(self, target):
-        self.target = target
+    def __init__(self, target, delay_s=0.0):
+        self.target, self.delay_s = target, delay_s
         self.is_cut = False
         self.port = free_port()
         self.listener = socket.socket()
@@ -407,23 +435,35 @@
             return
         for end in (near, far):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        threading.Thread(target=self.copy, args=(near, far), daemon=True).start()
-        self.copy(far, near)
+        for source, sink in ((near, far), (far, near)):
+            on_the_way = queue.Queue()
+            threading.Thread(target=self.receive, args=(source, on_the_way), daemon=True).start()
+            threading.Thread(target=self.deliver, args=(on_the_way, sink, near, far), daemon=True).start()
 
-    def copy(self, source, sink):
-        try:
-            while True:
+    def receive(self, source, on_the_way):
+        while True:
+            try:
                 data = source.recv(65536)
-                while self.is_cut:
-                    time.sleep(0.02)
-                if not data:
-                    break
-                sink.sendall(data)
-        except OSError:
-            pass
-        for end in (source, sink):
+            except OSError:
+                data = b""
+            on_the_way.put((time.monotonic() + self.delay_s, data))
+            if not data:
+                return
+
+    def deliver(self, on_the_way, sink, *ends):
+        data = True
+        while data:
+            due, data = on_the_way.get()
+            time.sleep(max(0.0, due - time.monotonic()))
+            while self.is_cut:
+                time.sleep(0.02)
+            try:
+                if data:
+                    sink.sendall(data)
+            except OSError:
+                break
+        for end in ends:
             try:
                 end.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
-            end.close()
