--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import queue
+import random
 import shutil
 import signal
 import socket
@@ -15,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -43,8 +45,9 @@
 
 
 def free_port():
-    """A free port below the range from which the system takes ports for outgoing connections."""
-    for port in range(20000 + os.getpid() % 9000, 32000):
+    """A free port, drawn below the range from which the system takes ports for outgoing connections."""
+    for _ in range(1000):
+        port = random.SystemRandom().randrange(15000, 32000)
         if port in _ports:
             continue
         with socket.socket() as probe:
@@ -207,6 +210,11 @@
 def main(script, body):
     """Runs `body(case)`, which returns whether the rule held; exits with 0, 1 or 2."""
     case, status = None, 2
+
+    def stop(*_):
+        raise CannotRun("stopped")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         case = Case(script)
         held = body(case)
@@ -216,6 +224,8 @@
         print(f"cannot run: {error}")
         if case:
             case.record.line(f"cannot run: {error}")
+    except Exception:  # a fault of the script is no broken rule
+        traceback.print_exc()
     finally:
         if case:
             case.finish()
