Keep a late poll of discovery in flight beside the next one

Cause: a poll was given up 0.6 s beyond its wait, and its answer with it; the next one asked for a wait of 0.1 s and was given up after 0.7 s, each time, however late the service was. Nothing was remembered from poll to poll, so an answer that took over 0.7 s could never arrive. The same limits stood on connecting (0.6 s), on the body (0.6 s), on several addresses (0.4 s a node) and, for a small fleet, on scheduled polls (1.5 s).

Change: a poll that is late stays in flight, and another one is sent beside it at the times at which one was sent before, so failing over is as fast as it was. The first list ends all others. At most two more polls than nodes are in flight, the oldest for up to 10 s. The latency of answers sets when the next poll is late, and its wait gets shorter by the same time, so a slow node gets no more polls than a fast one and a lost poll is noticed as soon. A request for the next node no longer ends a poll that a slow node is about to answer.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agreement;
 pub mod balancer;
+pub mod calls_in_flight;
 pub mod config_file;
 pub mod guard;
 pub mod http_client;
@@ -13,6 +14,7 @@
 pub mod os;
 pub mod proxy;
 pub mod registry;
+pub mod response_latency;
 pub mod simulator;
 pub mod telemetry;
 
--- a/src/proxy/discovery/client.rs
+++ b/src/proxy/discovery/client.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 
-/// How long a poll may take beyond its wait, and the timeout of connecting and of reading the body. It is short because
-/// discovery is near.
-pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a poll may take beyond its wait before it is given up, whatever else is in flight.
+const POLL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The maximum size of a list, enough for some 6,000 backends. Once translated, a list needs six times as much memory,
 /// and a proxy may use 32 MB.
 const MAX_LIST_BYTES: usize = 1 << 20;
@@ -38,54 +38,57 @@
     Stale(u64),
 }
 
-impl Discovery {
-    /// Polls the current node, on the connection of the previous poll if it is still usable.
-    pub(super) async fn poll(
-        &self,
-        path: &str,
-        timeout: Duration,
-        connection: &mut Option<UpstreamConnection>,
-    ) -> Result<EndpointList, PollError> {
-        let polled = tokio::time::timeout(timeout, async {
-            let body = self.fetch(path, connection).await?;
-            let list = serde_json::from_slice(&body)?;
-            self.check_revision(list)
-        });
-        polled.await.unwrap_or(Err(PollError::Timeout))
-    }
+/// The response to a poll, and its connection if that can be used again.
+pub(super) struct PollResponse {
+    pub(super) body: Bytes,
+    pub(super) connection: Option<UpstreamConnection>,
+}
 
-    async fn fetch(
-        &self,
-        path: &str,
-        connection: &mut Option<UpstreamConnection>,
-    ) -> Result<Bytes, PollError> {
-        let mut upstream = match connection.take().and_then(|upstream| upstream.checked().ok()) {
-            Some(upstream) => upstream,
-            None => {
-                let connected = upstream::connect(self.nodes.address(), RESPONSE_TIMEOUT).await;
-                connected.map_err(PollError::Connect)?
-            }
-        };
-        let request = Request::get(path).header("host", self.nodes.address().to_string());
-        let Ok(request) = request.body(Full::new(Bytes::new())) else {
-            return Err(PollError::Status(0)); // the path is always valid
-        };
-        let response = upstream.send(request).await.ok_or(PollError::Disconnected)?;
-        let response = response.map_err(hyper::client::conn::TrySendError::into_error)?;
-        let (status, body) = (response.status(), read_limited(response.into_body(), MAX_LIST_BYTES));
-        let body = tokio::time::timeout(RESPONSE_TIMEOUT, upstream.drive(body)).await;
-        let body = body.map_err(|_| PollError::Timeout)?.ok_or(PollError::Disconnected)??;
-        if !status.is_success() {
-            return Err(PollError::Status(status.as_u16()));
-        }
-        *connection = upstream.checked().ok();
-        Ok(body)
+/// Polls the node at `address`, which waits up to `wait` for changes, on `connection` if that is still usable.
+pub(super) async fn poll(
+    address: SocketAddr,
+    since: u64,
+    wait: Duration,
+    connection: Option<UpstreamConnection>,
+) -> Result<PollResponse, PollError> {
+    let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
+    let timeout = wait + POLL_TIMEOUT;
+    let response = tokio::time::timeout(timeout, fetch(address, &path, timeout, connection)).await;
+    response.unwrap_or(Err(PollError::Timeout))
+}
+
+async fn fetch(
+    address: SocketAddr,
+    path: &str,
+    connect_timeout: Duration,
+    connection: Option<UpstreamConnection>,
+) -> Result<PollResponse, PollError> {
+    let mut upstream = match connection.and_then(|upstream| upstream.checked().ok()) {
+        Some(upstream) => upstream,
+        None => upstream::connect(address, connect_timeout).await.map_err(PollError::Connect)?,
+    };
+    let request = Request::get(path).header("host", address.to_string());
+    let Ok(request) = request.body(Full::new(Bytes::new())) else {
+        return Err(PollError::Status(0)); // the path is always valid
+    };
+    let response = upstream.send(request).await.ok_or(PollError::Disconnected)?;
+    let response = response.map_err(hyper::client::conn::TrySendError::into_error)?;
+    let status = response.status();
+    let body = upstream.drive(read_limited(response.into_body(), MAX_LIST_BYTES)).await;
+    let body = body.ok_or(PollError::Disconnected)??;
+    if !status.is_success() {
+        return Err(PollError::Status(status.as_u16()));
     }
+    Ok(PollResponse { body, connection: upstream.checked().ok() })
+}
 
-    /// Rejects a list that is older than the known one: old changes would bring back backends that have since been
-    /// drained. A single server that has restarted sends a complete list, whose revision may be lower, and is accepted.
-    /// The nodes of a list service share one revision, so even a complete list is rejected if the node is behind.
-    fn check_revision(&self, list: EndpointList) -> Result<EndpointList, PollError> {
+impl Discovery {
+    /// Parses a list, and rejects one that is older than the known one: old changes would bring back backends that have
+    /// since been drained. A single server that has restarted sends a complete list, whose revision may be lower, and is
+    /// accepted. The nodes of a list service share one revision, so even a complete list is rejected if the node is
+    /// behind.
+    pub(super) fn parse_list(&self, body: &[u8]) -> Result<EndpointList, PollError> {
+        let list: EndpointList = serde_json::from_slice(body)?;
         let is_restart = list.reset && !self.nodes.is_cluster();
         match is_restart || list.generation >= self.generation.get() {
             true => Ok(list),
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -6,8 +6,10 @@
 //! known one is rejected, so that a node that is behind does not reset the proxy to an old list. While no node answers,
 //! the last list stays in use.
 //!
-//! Only one poll is in flight at a time, so that an old response cannot arrive after a newer one: a watch starts only
-//! if none is running, and a poll in flight is cancelled when the addresses of discovery change.
+//! A poll that is late may have been lost, so another one is sent; but discovery may also be slow, so the late one stays
+//! in flight beside it ([`CallsInFlight`](crate::calls_in_flight::CallsInFlight)). All polls in flight ask for the
+//! changes since the same revision, and the first list that arrives ends the others, so that an old response cannot be
+//! applied after a newer one. All of them are ended when the addresses of discovery change.
 
 mod client;
 mod nodes;
@@ -44,17 +46,22 @@
     nodes: Nodes,
     /// The random numbers for the jitter of backoffs.
     jitter: RefCell<SmallRng>,
-    /// Notified when a poll in flight must be repeated at another address.
+    /// Notified when the polls in flight must be repeated at another address.
     moved: Notify,
+    /// Notified when the node that is polled is behind.
+    node_is_behind: Notify,
+    /// Notified when the balancer wants a poll.
+    poll_due: Notify,
+    /// Whether the watch waits until the balancer wants a poll.
+    awaits_schedule: Cell<bool>,
     engine: Rc<Engine>,
     on_list: RefCell<Option<OnList>>,
     translation: RefCell<Translation>,
     /// The revision of the current list.
     generation: Cell<u64>,
-    is_watching: Cell<bool>,
     /// How long a poll waits for changes.
     poll_wait: Duration,
-    /// How long a poll that discovery has to queue may take beyond its wait.
+    /// How long a poll that discovery has to queue may take beyond its wait before it is late.
     queued_response_timeout: Duration,
     /// Whether the balancer decides when to poll again after a failure.
     is_scheduled: bool,
@@ -63,7 +70,8 @@
 }
 
 impl Discovery {
-    /// Applies the known list to the engine, and starts the watch unless the balancer decides when to poll.
+    /// Applies the known list to the engine, and starts the watch. If the balancer decides when to poll, the watch first
+    /// waits for it.
     pub fn start(
         addresses: Vec<SocketAddr>,
         known: EndpointList,
@@ -77,10 +85,12 @@
             nodes: Nodes::new(addresses, &mut jitter),
             jitter: RefCell::new(jitter),
             moved: Notify::new(),
+            node_is_behind: Notify::new(),
+            poll_due: Notify::new(),
+            awaits_schedule: Cell::new(settings.polls_discovery),
             on_list: RefCell::default(),
             translation: RefCell::new(Translation::new(proxy_settings.zones.clone())),
             generation: Cell::new(known.generation),
-            is_watching: Cell::new(false),
             poll_wait: Duration::try_from_secs_f64(settings.poll_timeout)
                 .unwrap_or(MAX_POLL_WAIT)
                 .min(MAX_POLL_WAIT),
@@ -95,25 +105,20 @@
         let weak = Rc::downgrade(&discovery);
         discovery.engine.on_poll_discovery(move || {
             if let Some(discovery) = weak.upgrade() {
-                discovery.watch();
+                discovery.start_scheduled_poll();
             }
         });
         let listed = discovery.translation.borrow_mut().translate(known, discovery.engine.clock());
         discovery.engine.apply_watch_event(WatchEvent::Cached(listed));
-        if !settings.polls_discovery {
-            discovery.watch();
-        }
+        tokio::task::spawn_local(discovery.clone().run_watch());
         discovery
     }
 
-    /// Replaces the addresses of discovery. A poll in flight is repeated at the new address, since the old one may not
-    /// report any more changes.
-    pub fn move_to(self: &Rc<Self>, addresses: Vec<SocketAddr>) {
+    /// Replaces the addresses of discovery. Polls in flight are repeated at the new address, since the old one may not
+    /// report any more changes; a backoff ends, as it was for the old address.
+    pub fn move_to(&self, addresses: Vec<SocketAddr>) {
         if self.nodes.replace(addresses) {
-            match self.is_watching.get() {
-                true => self.moved.notify_one(),
-                false => self.watch(), // the backoff was for the old address
-            }
+            self.moved.notify_one();
         }
     }
 
@@ -123,19 +128,17 @@
         *self.on_list.borrow_mut() = Some(Box::new(on_list));
     }
 
-    /// Polls the next node from now on, because the current one is behind.
+    /// Polls the next node, because the current one is behind or its response with the changes is late.
     pub fn use_next_node(&self) {
         if self.nodes.is_cluster() {
-            self.nodes.advance();
-            self.moved.notify_one();
+            self.node_is_behind.notify_one();
         }
     }
 
-    /// Starts a watch, unless one is running.
-    pub fn watch(self: &Rc<Self>) {
-        if !self.is_watching.replace(true) {
-            let this = self.clone();
-            tokio::task::spawn_local(async move { this.run_watch().await });
+    /// Sends the poll that the watch has left to the balancer's schedule; none if the watch goes on by itself.
+    fn start_scheduled_poll(&self) {
+        if self.awaits_schedule.replace(false) {
+            self.poll_due.notify_one();
         }
     }
 
--- a/src/proxy/discovery/nodes.rs
+++ b/src/proxy/discovery/nodes.rs
@@ -33,6 +33,18 @@
         self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
     }
 
+    /// Polls the node at `address` from now on, if it is still one of the nodes.
+    pub(super) fn select(&self, address: SocketAddr) {
+        if let Some(index) = self.addresses.borrow().iter().position(|node| *node == address) {
+            self.current.set(index);
+        }
+    }
+
+    /// The number of addresses.
+    pub(super) fn count(&self) -> usize {
+        self.addresses.borrow().len()
+    }
+
     /// The address of the node that is currently polled.
     pub(super) fn address(&self) -> SocketAddr {
         let addresses = self.addresses.borrow();
@@ -41,11 +53,11 @@
 
     /// Whether there are several nodes to fail over between.
     pub(super) fn is_cluster(&self) -> bool {
-        self.addresses.borrow().len() > 1
+        self.count() > 1
     }
 
     /// Whether this number of consecutive failed polls completes a round over all nodes.
     pub(super) fn is_round_over(&self, failures: usize) -> bool {
-        failures.is_multiple_of(self.addresses.borrow().len().max(1))
+        failures.is_multiple_of(self.count().max(1))
     }
 }
--- a/src/proxy/discovery/watch.rs
+++ b/src/proxy/discovery/watch.rs
@@ -1,12 +1,16 @@
-//! The watch: successive polls, with backoff and failover after failures.
+//! The watch: successive polls, with further polls beside late ones, and with backoff and failover after failures.
 
 use super::Discovery;
-use super::client::{PollError, RESPONSE_TIMEOUT};
+use super::client::{PollError, PollResponse, poll};
+use crate::calls_in_flight::{CallId, CallsInFlight, SentCall};
 use crate::proxy::upstream::UpstreamConnection;
 use crate::proxy::watch_event::WatchEvent;
+use crate::response_latency::ResponseLatency;
 use crate::telemetry::metrics::{self, CountedEvent};
 use crate::telemetry::reason::PollOutcome;
 use rand::Rng;
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -14,8 +18,16 @@
 /// How long a poll waits for changes while it is unknown whether discovery answers. It is short as such a poll only
 /// requests the current state.
 const SHORT_POLL_WAIT: Duration = Duration::from_millis(100);
-/// How long a poll with [`SHORT_POLL_WAIT`] may take beyond its wait if there are other nodes to poll.
+/// How long a poll may take beyond its wait before it is late, as long as discovery has not been slow.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// The longest such time once discovery has been slow: it may take 2 s.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_200);
+/// How long a poll with [`SHORT_POLL_WAIT`] may take beyond its wait before it is late, if there are other nodes.
 const NODE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum number of times that [`RESPONSE_TIMEOUT`] doubles while polls of a single address are late.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
+/// The maximum number of polls in flight, in addition to one for each node.
+const MAX_ADDITIONAL_POLLS: usize = 2;
 /// The first backoff if discovery has one address; it doubles with each failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest backoff if discovery has one address.
@@ -33,16 +45,40 @@
 
 /// The state that a watch has between polls.
 struct Watch {
+    polls: CallsInFlight<Result<PollResponse, PollError>>,
+    /// The connection of the previous poll, for the next one.
     connection: Option<UpstreamConnection>,
-    /// The number of consecutive failed polls.
+    /// The number of consecutive polls that failed or were late.
     failures: usize,
+    /// The number of consecutive polls that were late.
+    late_polls: u32,
+    latency: ResponseLatency,
     /// Whether discovery has not answered this watch yet.
     is_unanswered: bool,
+    /// The newest poll that was in flight when the node that it was sent to was behind.
+    behind: Option<CallId>,
 }
 
 impl Watch {
     fn new() -> Self {
-        Self { connection: None, failures: 0, is_unanswered: true }
+        Self {
+            polls: CallsInFlight::default(),
+            connection: None,
+            failures: 0,
+            late_polls: 0,
+            latency: ResponseLatency::default(),
+            is_unanswered: true,
+            behind: None,
+        }
+    }
+
+    /// Records a response; it ends all other polls.
+    fn answered(&mut self, sent: &SentCall, connection: Option<UpstreamConnection>) {
+        self.polls.clear();
+        self.latency.observe(sent.sent_at.elapsed(), sent.wait);
+        self.connection = connection;
+        (self.failures, self.late_polls) = (0, 0);
+        (self.is_unanswered, self.behind) = (false, None);
     }
 }
 
@@ -50,78 +86,198 @@
 struct PollTiming {
     /// How long discovery waits for changes.
     wait: Duration,
-    /// How long the response may take beyond that.
+    /// How long the response may take beyond that before it is late.
     response_timeout: Duration,
 }
 
+/// What a poll has led to.
+enum PollResult {
+    /// A list was applied.
+    Answered,
+    /// The poll failed.
+    Failed,
+    /// The poll is late, and stays in flight.
+    Late,
+    /// The node is behind; its poll stays in flight.
+    Behind,
+    /// Discovery has moved: all polls are ended.
+    Moved,
+}
+
 impl Discovery {
-    /// Polls until a failure that is reported to the balancer, which then decides when the next watch starts. If lists
-    /// are pushed, the watch continues for as long as the proxy runs.
+    /// Polls for as long as the proxy runs. If failures are reported to the balancer, it decides when the next poll is
+    /// sent.
     pub(super) async fn run_watch(self: Rc<Self>) {
         let mut watch = Watch::new();
+        if self.is_scheduled {
+            self.wait_for_schedule(&mut watch).await;
+        }
         loop {
-            let PollTiming { wait, response_timeout } = self.timing(&watch);
-            let since = self.generation.get();
-            let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
             let started_at = Instant::now();
-            let result = tokio::select! {
+            match self.poll_once(&mut watch).await {
+                PollResult::Answered => {}
+                PollResult::Failed | PollResult::Late => self.wait_to_retry(&mut watch, started_at).await,
+                PollResult::Behind => self.nodes.advance(),
+                PollResult::Moved => watch = self.restarted(),
+            }
+        }
+    }
+
+    /// Sends a poll, and waits until any poll in flight is answered, or until the new one fails or is late.
+    async fn poll_once(&self, watch: &mut Watch) -> PollResult {
+        let PollTiming { wait, response_timeout } = self.timing(watch);
+        let newest = self.send_poll(watch, wait);
+        let mut late = pin!(tokio::time::sleep(wait + response_timeout));
+        loop {
+            let (sent, response) = tokio::select! {
                 biased; // applies a response that has already arrived
-                result = self.poll(&path, wait + response_timeout, &mut watch.connection) => result,
-                () = self.moved.notified() => {
-                    metrics::count(CountedEvent::PollEnded(PollOutcome::Moved));
-                    watch = Watch::new();
+                ended = watch.polls.next() => ended,
+                () = self.moved.notified() => return PollResult::Moved,
+                () = self.node_is_behind.notified() => {
+                    if self.has_room(watch) {
+                        watch.failures += 1;
+                        watch.behind = Some(newest.id);
+                        return PollResult::Behind;
+                    }
                     continue;
                 }
-            };
-            match result {
-                Ok(list) => {
-                    metrics::count(CountedEvent::PollEnded(PollOutcome::Answered));
-                    tracing::debug!(revision = list.generation, whole = list.reset, "endpoint list received");
-                    (watch.failures, watch.is_unanswered) = (0, false);
-                    self.apply(list);
+                () = &mut late => {
+                    report_late(watch.failures, newest.sent_at.elapsed());
+                    watch.late_polls += 1;
+                    self.fail_over(watch);
+                    return PollResult::Late;
                 }
+            };
+            match self.accept(watch, &sent, response) {
+                Ok(()) if watch.failures == 0 => return PollResult::Answered,
+                Ok(()) => {} // an answer of a node that is behind
                 Err(error) => {
-                    report_failure(&error, watch.failures, started_at.elapsed());
-                    self.fail_over(&mut watch);
-                    if self.is_scheduled && self.nodes.is_round_over(watch.failures) {
-                        // The watch ends before the balancer is notified, since the next poll starts a new watch.
-                        self.is_watching.set(false);
-                        return self.engine.apply_watch_event(WatchEvent::PollFailed);
+                    report_failure(&error, watch.failures, sent.sent_at.elapsed());
+                    if sent.id == newest.id {
+                        watch.late_polls = 0;
+                        self.fail_over(watch);
+                        return PollResult::Failed;
                     }
-                    self.back_off(&mut watch, started_at.elapsed()).await;
                 }
             }
         }
     }
 
+    /// Sends a poll to the current node.
+    fn send_poll(&self, watch: &mut Watch, wait: Duration) -> SentCall {
+        let address = self.nodes.address();
+        watch.polls.make_room(self.max_polls());
+        let response = poll(address, self.generation.get(), wait, watch.connection.take());
+        watch.polls.send(address, wait, response)
+    }
+
+    /// The maximum number of polls in flight.
+    fn max_polls(&self) -> usize {
+        self.nodes.count() + MAX_ADDITIONAL_POLLS
+    }
+
+    /// Whether another poll may be sent now.
+    fn has_room(&self, watch: &Watch) -> bool {
+        watch.polls.room_at(self.max_polls()) <= Instant::now()
+    }
+
+    /// Applies the response to a poll, unless it has no news and is of a node that is behind.
+    fn accept(
+        &self,
+        watch: &mut Watch,
+        sent: &SentCall,
+        response: Result<PollResponse, PollError>,
+    ) -> Result<(), PollError> {
+        let PollResponse { body, connection } = response?;
+        let list = self.parse_list(&body)?;
+        metrics::count(CountedEvent::PollEnded(PollOutcome::Answered));
+        let is_news = list.generation != self.generation.get();
+        if !is_news && watch.behind.is_some_and(|behind| sent.id <= behind) {
+            return Ok(());
+        }
+        tracing::debug!(revision = list.generation, whole = list.reset, "endpoint list received");
+        watch.answered(sent, connection);
+        self.nodes.select(sent.address);
+        self.apply(list);
+        Ok(())
+    }
+
     fn timing(&self, watch: &Watch) -> PollTiming {
+        let short_wait = SHORT_POLL_WAIT.min(self.poll_wait);
         if !watch.is_unanswered && watch.failures == 0 {
-            return PollTiming { wait: self.poll_wait, response_timeout: RESPONSE_TIMEOUT };
+            let response_timeout = watch.latency.timeout(RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT);
+            // The wait gets shorter by what the response may take longer, so that a lost poll is noticed equally soon.
+            let wait = self.poll_wait.saturating_sub(response_timeout - RESPONSE_TIMEOUT).max(short_wait);
+            return PollTiming { wait, response_timeout };
         }
         let response_timeout = match (self.nodes.is_cluster(), self.is_scheduled) {
             (true, _) => NODE_RESPONSE_TIMEOUT,
             (false, true) => self.queued_response_timeout,
-            (false, false) => RESPONSE_TIMEOUT,
+            (false, false) => {
+                RESPONSE_TIMEOUT * (1 << watch.late_polls.saturating_sub(1).min(MAX_TIMEOUT_DOUBLINGS))
+            }
         };
-        PollTiming { wait: SHORT_POLL_WAIT.min(self.poll_wait), response_timeout }
+        PollTiming { wait: short_wait, response_timeout }
     }
 
-    /// Counts a failed poll, and selects the next node if there are several.
+    /// Counts a failed or late poll, and selects the next node if there are several.
     fn fail_over(&self, watch: &mut Watch) {
         watch.failures += 1;
+        watch.connection = None;
         if self.nodes.is_cluster() {
             self.nodes.advance();
-            watch.connection = None;
         }
     }
 
-    /// Waits before the next poll, at most until the addresses of discovery change.
-    async fn back_off(&self, watch: &mut Watch, elapsed: Duration) {
-        let backoff = self.backoff(watch.failures, elapsed);
-        tokio::select! {
-            () = tokio::time::sleep(backoff) => {}
-            () = self.moved.notified() => *watch = Watch::new(),
+    /// Waits before the next poll, which the balancer decides on if failures are reported to it.
+    async fn wait_to_retry(&self, watch: &mut Watch, started_at: Instant) {
+        if self.is_scheduled && self.nodes.is_round_over(watch.failures) {
+            // The watch waits before the balancer is notified, which may want a poll at once.
+            self.awaits_schedule.set(true);
+            self.engine.apply_watch_event(WatchEvent::PollFailed);
+            return self.wait_for_schedule(watch).await;
         }
+        let backoff = self.backoff(watch.failures, started_at.elapsed());
+        let next_at = (Instant::now() + backoff).max(watch.polls.room_at(self.max_polls()));
+        self.wait_for(watch, tokio::time::sleep_until(next_at)).await;
+    }
+
+    /// Waits until the balancer wants a poll.
+    async fn wait_for_schedule(&self, watch: &mut Watch) {
+        let due = async {
+            while self.awaits_schedule.get() {
+                self.poll_due.notified().await;
+            }
+        };
+        self.wait_for(watch, due).await;
+        self.awaits_schedule.set(false);
+    }
+
+    /// Waits until the next poll is `due`, or until a late poll is answered or the addresses of discovery change.
+    async fn wait_for(&self, watch: &mut Watch, due: impl Future<Output = ()>) {
+        let mut due = pin!(due);
+        loop {
+            let (sent, response) = tokio::select! {
+                biased; // applies a response that has already arrived
+                ended = watch.polls.next() => ended,
+                () = self.moved.notified() => {
+                    *watch = self.restarted();
+                    return;
+                }
+                () = &mut due => return,
+            };
+            match self.accept(watch, &sent, response) {
+                Ok(()) if watch.failures == 0 => return,
+                Ok(()) => {}
+                Err(error) => report_failure(&error, watch.failures, sent.sent_at.elapsed()),
+            }
+        }
+    }
+
+    /// A new watch, after the addresses of discovery have changed.
+    fn restarted(&self) -> Watch {
+        metrics::count(CountedEvent::PollEnded(PollOutcome::Moved));
+        Watch::new()
     }
 
     /// The backoff after `failures` consecutive failed polls, the last of which took `elapsed`.
@@ -138,6 +294,14 @@
     }
 }
 
+/// Reports a late poll, which stays in flight, after `failures` other polls that failed or were late.
+fn report_late(failures: usize, elapsed: Duration) {
+    let error = PollError::Timeout;
+    metrics::count(CountedEvent::PollEnded(PollOutcome::Late));
+    tracing::info!(%error, failures, took = elapsed.as_secs_f64(), "poll of discovery is late, another is sent");
+    eprintln!("discovery: {error}, polling again");
+}
+
 fn report_failure(error: &PollError, failures: usize, elapsed: Duration) {
     metrics::count(CountedEvent::PollEnded(PollOutcome::Failed));
     tracing::info!(%error, failures, took = elapsed.as_secs_f64(), "polling discovery failed");
--- a/src/telemetry/reason.rs
+++ b/src/telemetry/reason.rs
@@ -119,9 +119,11 @@
     Failed,
     /// It was cancelled because discovery has moved.
     Moved,
+    /// It is late: another one is sent, and it stays in flight until one of them is answered.
+    Late,
 }
 
-labels!(PollOutcome { Answered => "Answered", Failed => "Failed", Moved => "Moved" });
+labels!(PollOutcome { Answered => "Answered", Failed => "Failed", Moved => "Moved", Late => "Late" });
 
 /// The invariants that [`crate::guard`] checks immediately before the proxy acts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- /dev/null
+++ b/tests/discovery/slow.rs
@@ -0,0 +1,278 @@
+//! Discovery that is slow: each of its answers is late, but none is lost. A slow service is not a silent one, so a proxy
+//! has to be notified of each change in time.
+
+use super::nodes::{Nodes, PollBehavior, start_client, wait_for};
+use super::{MOVE_TIMEOUT, NOTIFY_TIMEOUT};
+use linkhatch_proxy::proxy::discovery::Discovery;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// The longest that an answer may be late: 2 s after the wait of its poll.
+const MAX_DELAY: Duration = Duration::from_secs(2);
+
+/// The part of each answer that is late.
+#[derive(Clone, Copy, Debug)]
+enum SlowPart {
+    Head,
+    Body,
+}
+
+impl SlowPart {
+    fn delay(self, nodes: &Nodes, delay: Duration) {
+        match self {
+            Self::Head => nodes.head_delay.set(delay),
+            Self::Body => nodes.body_delay.set(delay),
+        }
+    }
+}
+
+/// How discovery is reached: `node_count` addresses, and whether the balancer decides when to poll.
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    node_count: usize,
+    polls_discovery: bool,
+}
+
+const SETUPS: [Setup; 6] = [
+    Setup { node_count: 1, polls_discovery: false },
+    Setup { node_count: 1, polls_discovery: true },
+    Setup { node_count: 2, polls_discovery: false },
+    Setup { node_count: 3, polls_discovery: false },
+    Setup { node_count: 3, polls_discovery: true },
+    Setup { node_count: 7, polls_discovery: false },
+];
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Starts nodes and a client that knows the first list.
+async fn start(setup: Setup, seed: u64) -> (Rc<Nodes>, Rc<Discovery>, Rc<Cell<u64>>) {
+    let nodes = Nodes::start(setup.node_count).await;
+    let (discovery, notified) = start_client(&nodes.addresses, setup.polls_discovery, seed);
+    wait_for(&notified, 1).await;
+    (nodes, discovery, notified)
+}
+
+/// Guards against a proxy that gives up every call before its answer comes, and so never learns of a drain.
+#[tokio::test(start_paused = true)]
+async fn changes_arrive_in_time_although_each_answer_is_late() {
+    for setup in SETUPS {
+        for part in [SlowPart::Head, SlowPart::Body] {
+            for delay in [millis(500), millis(800), millis(1_000), millis(1_500), MAX_DELAY] {
+                // The change comes at each moment of a poll and of the failures that it may cause.
+                for quiet in (0..24).map(|step| millis(250 * step)) {
+                    let local = LocalSet::new();
+                    let told = local.run_until(async {
+                        let (nodes, _discovery, notified) = start(setup, 5).await;
+                        part.delay(&nodes, delay);
+                        tokio::time::sleep(quiet).await;
+                        wait_for(&notified, nodes.change()).await
+                    });
+                    let told = told.await;
+                    assert!(
+                        told < NOTIFY_TIMEOUT,
+                        "{setup:?}, {part:?}, {delay:?} after {quiet:?}: {told:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a new proxy that never gets its first list from a slow service.
+#[tokio::test(start_paused = true)]
+async fn a_new_process_gets_its_first_list_in_time_although_answers_are_late() {
+    for setup in SETUPS {
+        for part in [SlowPart::Head, SlowPart::Body] {
+            for seed in 0..5 {
+                let local = LocalSet::new();
+                let told = local.run_until(async {
+                    let nodes = Nodes::start(setup.node_count).await;
+                    part.delay(&nodes, MAX_DELAY);
+                    let (_discovery, notified) = start_client(&nodes.addresses, setup.polls_discovery, seed);
+                    wait_for(&notified, 1).await
+                });
+                let told = told.await;
+                assert!(told < NOTIFY_TIMEOUT, "{setup:?}, {part:?}, seed {seed}: {told:?}");
+            }
+        }
+    }
+}
+
+/// Guards against timeouts that follow the latest answer alone, so that an answer of another delay is given up.
+#[tokio::test(start_paused = true)]
+async fn changes_arrive_in_time_although_answers_are_late_by_varying_times() {
+    for setup in SETUPS {
+        for seed in 0..5 {
+            let local = LocalSet::new();
+            let slowest = local.run_until(async {
+                let mut rng = SmallRng::seed_from_u64(seed);
+                let (nodes, _discovery, notified) = start(setup, seed).await;
+                let delayed = nodes.clone();
+                tokio::task::spawn_local(async move {
+                    loop {
+                        delayed.head_delay.set(MAX_DELAY.mul_f64(rng.random()));
+                        tokio::time::sleep(millis(300)).await;
+                    }
+                });
+                let mut pauses = SmallRng::seed_from_u64(seed);
+                let mut slowest = Duration::ZERO;
+                for _ in 0..30 {
+                    tokio::time::sleep(Duration::from_secs(8).mul_f64(pauses.random())).await;
+                    slowest = slowest.max(wait_for(&notified, nodes.change()).await);
+                }
+                slowest
+            });
+            let slowest = slowest.await;
+            assert!(slowest < NOTIFY_TIMEOUT, "{setup:?}, seed {seed}: {slowest:?}");
+        }
+    }
+}
+
+/// Guards against a slow service that hides a lost poll: the next one has to come soon enough for a late answer to it.
+#[tokio::test(start_paused = true)]
+async fn a_lost_poll_is_repeated_in_time_although_discovery_is_slow() {
+    for setup in SETUPS {
+        for delay in [millis(1_000), MAX_DELAY] {
+            for seed in 0..5 {
+                let local = LocalSet::new();
+                let told = local.run_until(async {
+                    let (nodes, _discovery, notified) = start(setup, seed).await;
+                    nodes.head_delay.set(delay);
+                    tokio::time::sleep(Duration::from_secs(20)).await;
+                    let polls = nodes.poll_count.get();
+                    nodes.next_behaviors.borrow_mut().push(PollBehavior::Hang);
+                    while nodes.poll_count.get() == polls {
+                        tokio::time::sleep(millis(1)).await;
+                    }
+                    wait_for(&notified, nodes.change()).await
+                });
+                let told = told.await;
+                assert!(told < NOTIFY_TIMEOUT, "{setup:?}, {delay:?}, seed {seed}: {told:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a SIGHUP to a slow address: its answers have to arrive within the time limit of a reload.
+#[tokio::test(start_paused = true)]
+async fn a_slow_address_is_followed_in_time_after_a_move() {
+    for setup in SETUPS {
+        for part in [SlowPart::Head, SlowPart::Body] {
+            for waited in [0, 1_300, 2_900] {
+                let local = LocalSet::new();
+                let told = local.run_until(async {
+                    let (_old, discovery, notified) = start(setup, 3).await;
+                    let new = Nodes::start(setup.node_count).await;
+                    part.delay(&new, MAX_DELAY);
+                    new.generation.set(9);
+                    tokio::time::sleep(millis(waited)).await;
+                    discovery.move_to(new.addresses.clone());
+                    wait_for(&notified, 9).await
+                });
+                let told = told.await;
+                assert!(told < MOVE_TIMEOUT, "{setup:?}, {part:?} after {waited} ms: {told:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a crowd at a slow node: once the latency is known, each proxy has one poll in flight, and polls no more
+/// often than a node that answers at once.
+#[tokio::test(start_paused = true)]
+async fn a_slow_node_gets_no_more_polls_than_a_fast_one() {
+    for setup in SETUPS {
+        for delay in [millis(700), millis(1_000), MAX_DELAY] {
+            let local = LocalSet::new();
+            let (polls, connections) = local
+                .run_until(async {
+                    let (nodes, _discovery, _notified) = start(setup, 2).await;
+                    nodes.head_delay.set(delay);
+                    tokio::time::sleep(Duration::from_secs(10)).await;
+                    let before = nodes.poll_count.get();
+                    let mut connections = 0;
+                    for _ in 0..400 {
+                        tokio::time::sleep(millis(50)).await;
+                        connections = connections.max(nodes.open_connections.get());
+                    }
+                    (nodes.poll_count.get() - before, connections)
+                })
+                .await;
+            // 20 s with one poll each 2 s, and the one that was in flight.
+            assert!(polls <= 11, "{setup:?}, {delay:?}: {polls} polls in 20 s");
+            assert_eq!(connections, 1, "{setup:?}, {delay:?}");
+        }
+    }
+}
+
+/// Guards against calls left behind: polls that hang hold a bounded number of connections, and none once one is answered.
+#[tokio::test(start_paused = true)]
+async fn polls_that_hang_hold_few_connections_and_release_them() {
+    for setup in SETUPS {
+        let local = LocalSet::new();
+        let (most, released) = local
+            .run_until(async {
+                let (nodes, _discovery, notified) = start(setup, 4).await;
+                nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Hang));
+                let mut most = 0;
+                for _ in 0..1_200 {
+                    tokio::time::sleep(millis(50)).await;
+                    most = most.max(nodes.open_connections.get());
+                }
+                nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Answer));
+                wait_for(&notified, nodes.change()).await;
+                tokio::time::sleep(millis(50)).await;
+                (most, nodes.open_connections.get())
+            })
+            .await;
+        assert!(most <= setup.node_count + 2, "{setup:?}: {most} connections");
+        assert_eq!(released, 1, "{setup:?}");
+    }
+}
+
+/// Guards against an answer that never arrives because it is even later than a service may be.
+#[tokio::test(start_paused = true)]
+async fn answers_that_are_later_than_allowed_arrive_too() {
+    for setup in SETUPS {
+        for delay in [Duration::from_secs(4), Duration::from_secs(8)] {
+            let local = LocalSet::new();
+            let told = local.run_until(async {
+                let (nodes, _discovery, notified) = start(setup, 6).await;
+                nodes.head_delay.set(delay);
+                tokio::time::sleep(Duration::from_secs(3)).await;
+                wait_for(&notified, nodes.change()).await
+            });
+            let told = told.await;
+            assert!(told < 3 * delay, "{setup:?}, {delay:?}: {told:?}");
+        }
+    }
+}
+
+/// Guards against a watch that is moved on to the next node again and again, before any of the slow nodes can answer.
+#[tokio::test(start_paused = true)]
+async fn requests_for_the_next_node_leave_slow_nodes_the_time_to_answer() {
+    for every in [millis(100), millis(400), millis(1_000)] {
+        let local = LocalSet::new();
+        let told = local.run_until(async {
+            let setup = Setup { node_count: 3, polls_discovery: false };
+            let (nodes, discovery, notified) = start(setup, 7).await;
+            nodes.head_delay.set(MAX_DELAY);
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            let generation = nodes.change();
+            tokio::task::spawn_local(async move {
+                loop {
+                    discovery.use_next_node();
+                    tokio::time::sleep(every).await;
+                }
+            });
+            wait_for(&notified, generation).await
+        });
+        let told = told.await;
+        assert!(told < NOTIFY_TIMEOUT, "every {every:?}: {told:?}");
+    }
+}
