Hear a list service that is slow each time: agreement, sessions and leases

What callers saw: while each answer of the list service came 1.5 s late, a proxy never followed the fleet's settings and a holder never performed its duty; both called again and again.

The agreement's watch gave a poll up 0.6 s beyond its wait, a session's and a lease's call after a third of the TTL, at most 1 s, each time anew, whatever the calls before had shown. The session's answer that a revision is missing ended the poll that was about to bring it.

Change: the agreement's watch keeps a late poll in flight beside the next one, as discovery does. The timeout of a session's or a lease's call follows the latency of its answers, and doubles with each call in a row that was not answered in time, up to half of the TTL and 10 s: a renewal that takes so long still keeps what it renews. The first timeout, and so failing over from a silent node, stays as it was.

--- a/src/agreement/follower/mod.rs
+++ b/src/agreement/follower/mod.rs
@@ -2,10 +2,10 @@
 //! service, maintains the proxy's session, and notifies its owner of what to apply. It serves no requests itself, so
 //! that an outage of the list service costs the proxy only its attachment.
 //!
-//! At most two calls are in flight: a watch of the agreement (`watch`), and one of the session (`session`: opened,
-//! renewed each third of the TTL and at once when there is an offer to acknowledge). Each goes to one node and on to
-//! the next after a failure (`nodes`), with full jitter on the backoff, so that proxies that lost the same node do not
-//! reconnect at the same time.
+//! It makes two kinds of calls: polls of a watch of the agreement (`watch`), and one call at a time of the session
+//! (`session`: opened, renewed each third of the TTL and at once when there is an offer to acknowledge). Each kind goes
+//! to one node and on to the next after a failure (`nodes`), with full jitter on the backoff, so that proxies that lost
+//! the same node do not reconnect at the same time.
 
 mod nodes;
 mod session;
@@ -15,6 +15,7 @@
 use super::session_state::{Attachment, SessionState};
 use super::state::Members;
 use crate::lease::{Clock, holder_validity};
+use crate::response_latency::AdaptiveTimeout;
 use nodes::Nodes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -88,8 +89,12 @@
     nodes: Nodes,
     /// Notified when the session's next call is due at once.
     session_call_due: Notify,
-    /// Notified when the watch must restart at another node.
-    watch_restart: Notify,
+    /// Notified when the watch must restart, as the service has moved.
+    watch_moved: Notify,
+    /// Notified when the node that is watched is behind.
+    watch_is_behind: Notify,
+    /// The timeout of the session's calls.
+    session_timeout: RefCell<AdaptiveTimeout>,
     /// The latest version refused at the service.
     last_refused: Cell<u64>,
     is_closed: Cell<bool>,
@@ -112,7 +117,9 @@
             applied: Cell::new(Attachment::Detached),
             nodes: Nodes::new(config.addresses.clone(), first),
             session_call_due: Notify::new(),
-            watch_restart: Notify::new(),
+            watch_moved: Notify::new(),
+            watch_is_behind: Notify::new(),
+            session_timeout: RefCell::new(session::call_timeout(config.ttl)),
             last_refused: Cell::new(0),
             is_closed: Cell::new(false),
             rng: RefCell::new(rng),
@@ -134,7 +141,7 @@
     /// Replaces the addresses of the list service.
     pub fn move_to(&self, addresses: Vec<SocketAddr>) {
         if self.nodes.replace(addresses) {
-            self.watch_restart.notify_one();
+            self.watch_moved.notify_one();
             self.session_call_due.notify_one();
         }
     }
--- a/src/agreement/follower/nodes.rs
+++ b/src/agreement/follower/nodes.rs
@@ -48,6 +48,18 @@
         HttpClient::new(addresses[self.position(kind).get() % addresses.len().max(1)])
     }
 
+    /// The number of nodes.
+    pub fn count(&self) -> usize {
+        self.addresses.borrow().len()
+    }
+
+    /// Makes calls of this kind to the node at `address` from now on, if it is still one of the nodes.
+    pub fn select(&self, kind: CallKind, address: SocketAddr) {
+        if let Some(index) = self.addresses.borrow().iter().position(|node| *node == address) {
+            self.position(kind).set(index);
+        }
+    }
+
     /// Moves calls of this kind on to the next node.
     pub fn advance(&self, kind: CallKind) {
         let position = self.position(kind);
--- a/src/agreement/follower/session.rs
+++ b/src/agreement/follower/session.rs
@@ -6,6 +6,7 @@
 use crate::agreement::session_state::UnappliedRenewal;
 use crate::agreement::state::{Renewal, RequiredRevisions};
 use crate::http_client::{CallError, HttpClient, post_json};
+use crate::response_latency::AdaptiveTimeout;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
@@ -13,8 +14,10 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// The maximum timeout of a call of the session, for any TTL.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest first timeout of a call of the session, for any TTL.
+const MAX_FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The maximum timeout of a call of the session at a service that is slow, for any TTL.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout of the close of a session when its proxy shuts down.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -49,6 +52,18 @@
     }
 }
 
+/// How often a session with this TTL is renewed.
+fn renewal_interval(ttl: Duration) -> Duration {
+    ttl / 3
+}
+
+/// The timeout of the calls of a session with this TTL. A renewal that takes up to half of the TTL still keeps the
+/// session.
+pub(super) fn call_timeout(ttl: Duration) -> AdaptiveTimeout {
+    let first = renewal_interval(ttl).min(MAX_FIRST_CALL_TIMEOUT);
+    AdaptiveTimeout::new(first, (ttl / 2).min(MAX_CALL_TIMEOUT))
+}
+
 impl Follower {
     /// Relinquishes the session, which detaches the proxy at once, and tries to close it at the service within
     /// [`CLOSE_TIMEOUT`].
@@ -64,15 +79,8 @@
         }
     }
 
-    fn call_timeout(&self) -> Duration {
-        match self.is_closed.get() {
-            true => CLOSE_TIMEOUT,
-            false => self.renewal_interval().min(MAX_CALL_TIMEOUT),
-        }
-    }
-
     fn renewal_interval(&self) -> Duration {
-        self.config.ttl / 3
+        renewal_interval(self.config.ttl)
     }
 
     async fn call(
@@ -81,7 +89,18 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<Response<Bytes>, CallError> {
-        client.call(post_json(path, body)?, self.call_timeout()).await
+        let request = post_json(path, body)?;
+        if self.is_closed.get() {
+            return client.call(request, CLOSE_TIMEOUT).await;
+        }
+        let (sent_at, timeout) = (Instant::now(), self.session_timeout.borrow().current());
+        let reply = client.call(request, timeout).await;
+        match &reply {
+            Ok(_) => self.session_timeout.borrow_mut().answered(sent_at.elapsed()),
+            Err(CallError::Timeout) => self.session_timeout.borrow_mut().timed_out(),
+            Err(_) => {}
+        }
+        reply
     }
 
     /// Maintains a session for as long as the proxy runs and has not closed it.
@@ -189,8 +208,7 @@
     fn catch_up(&self, oldest: Option<UnappliedRenewal>) {
         let Some(oldest) = oldest else { return };
         if oldest.required.agreed > self.state.borrow().announced().revision {
-            self.nodes.advance(CallKind::Watch);
-            self.watch_restart.notify_one();
+            self.watch_is_behind.notify_one();
         } else {
             self.owner.list_is_behind();
         }
--- a/src/agreement/follower/watch.rs
+++ b/src/agreement/follower/watch.rs
@@ -1,66 +1,197 @@
 //! The watch: long polls of `GET /v1/agreed`, and the announcements that they return.
+//!
+//! A poll that is late stays in flight beside the next one ([`CallsInFlight`]), so that the views of a service that is
+//! slow each time arrive. The first view that can be used ends all polls.
 
 use super::Follower;
 use super::nodes::{Backoff, CallKind};
 use crate::agreement::session_state::Announcement;
 use crate::agreement::state::Members;
 use crate::agreement::{AgreementView, SettingsView};
+use crate::calls_in_flight::{CallId, CallsInFlight, SentCall};
+use crate::http_client::{CallError, HttpClient};
+use crate::response_latency::ResponseLatency;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long a poll waits for a change, and so how long an unresponsive node goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// The time allowed for the reply, in addition to the wait of a long poll.
+/// The shortest such wait, at a service that is slow.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
+/// How long a reply may take beyond the wait before it is late, as long as the service has not been slow.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
+/// The longest such time once the service has been slow.
+const MAX_REPLY_TIMEOUT: Duration = Duration::from_millis(2_200);
+/// How long a reply may take beyond the wait before its poll is given up, whatever else is in flight.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The maximum number of polls in flight, in addition to one for each node.
+const MAX_ADDITIONAL_CALLS: usize = 2;
+
+/// The end of a poll: its reply, and the client with the connection.
+type EndedPoll = (Result<Response<Bytes>, CallError>, HttpClient);
+
+/// The state that the watch has between polls.
+struct Watch {
+    polls: CallsInFlight<EndedPoll>,
+    /// The client of the latest reply, for the next poll.
+    client: Option<HttpClient>,
+    backoff: Backoff,
+    latency: ResponseLatency,
+    /// Whether a view was received, so that polls may wait for the next.
+    has_view: bool,
+    /// The newest poll that was in flight when the node that it was sent to was behind.
+    behind: Option<CallId>,
+}
+
+impl Watch {
+    fn new(has_view: bool) -> Self {
+        Self {
+            polls: CallsInFlight::default(),
+            client: None,
+            backoff: Backoff::new(),
+            latency: ResponseLatency::default(),
+            has_view,
+            behind: None,
+        }
+    }
+
+    /// Records a view that was applied; it ends all other polls.
+    fn answered(&mut self, sent: &SentCall, client: HttpClient) {
+        self.polls.clear();
+        self.latency.observe(sent.sent_at.elapsed(), sent.wait);
+        self.client = Some(client);
+        self.backoff.reset();
+        (self.has_view, self.behind) = (true, None);
+    }
+}
+
+/// What a poll has led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PollResult {
+    /// A view was applied.
+    Answered,
+    /// The poll failed, or it is late and stays in flight.
+    Failed,
+    /// The node is behind; its poll stays in flight.
+    Behind,
+    /// The service has moved: all polls are ended.
+    Moved,
+}
 
 impl Follower {
     /// Watches the agreement for as long as the proxy runs.
     pub(super) async fn watch(self: Rc<Self>) {
-        let (mut client, mut backoff, mut has_view) =
-            (self.nodes.client(CallKind::Watch), Backoff::new(), false);
+        let mut watch = Watch::new(false);
         loop {
-            let (request, timeout) = self.watch_request(has_view);
-            let reply = tokio::select! {
+            match self.poll_once(&mut watch).await {
+                PollResult::Answered => {}
+                PollResult::Failed => self.back_off(&mut watch).await,
+                PollResult::Behind => self.nodes.advance(CallKind::Watch),
+                PollResult::Moved => watch = Watch::new(watch.has_view),
+            }
+        }
+    }
+
+    /// Sends a poll, and waits until any poll in flight returns a view, or until the new one fails or is late.
+    async fn poll_once(&self, watch: &mut Watch) -> PollResult {
+        let reply_timeout = watch.latency.timeout(REPLY_TIMEOUT, MAX_REPLY_TIMEOUT);
+        let newest = self.send_poll(watch, reply_timeout);
+        let mut late = pin!(tokio::time::sleep(newest.wait + reply_timeout));
+        loop {
+            let (sent, ended) = tokio::select! {
                 biased; // a reply that has arrived is used
-                reply = client.call(request, timeout) => reply,
-                () = self.watch_restart.notified() => {
-                    client = self.nodes.client(CallKind::Watch);
-                    backoff.reset();
-                    continue;
+                ended = watch.polls.next() => ended,
+                () = self.watch_moved.notified() => return PollResult::Moved,
+                () = self.watch_is_behind.notified() => {
+                    if watch.polls.room_at(self.max_polls()) > Instant::now() {
+                        continue;
+                    }
+                    watch.behind = Some(newest.id);
+                    return PollResult::Behind;
                 }
+                () = &mut late => return PollResult::Failed,
             };
-            match reply {
-                Ok(reply) if reply.status() == StatusCode::OK && self.apply_view(reply.body()) => {
-                    backoff.reset();
-                    has_view = true;
-                }
-                _ => {
-                    self.nodes.advance(CallKind::Watch);
-                    client = self.nodes.client(CallKind::Watch);
-                    let wait = backoff.next_wait(&mut *self.rng.borrow_mut());
-                    tokio::time::sleep(wait).await;
-                }
+            if self.accept(watch, &sent, ended) {
+                return PollResult::Answered;
+            }
+            if sent.id == newest.id {
+                return PollResult::Failed;
             }
         }
     }
 
-    /// The next poll and its timeout; it is a long poll once a first view was received.
-    fn watch_request(&self, has_view: bool) -> (Request<Full<Bytes>>, Duration) {
+    /// The maximum number of polls in flight.
+    fn max_polls(&self) -> usize {
+        self.nodes.count() + MAX_ADDITIONAL_CALLS
+    }
+
+    /// Sends a poll to the current node; it is a long poll once a first view was received. Its wait gets shorter by what
+    /// the reply may take longer, so that an unresponsive node is noticed equally soon.
+    fn send_poll(&self, watch: &mut Watch, reply_timeout: Duration) -> SentCall {
+        let long_wait = WATCH_WAIT.saturating_sub(reply_timeout - REPLY_TIMEOUT).max(MIN_WATCH_WAIT);
+        let wait = if watch.has_view { long_wait } else { Duration::ZERO };
+        let mut client = watch.client.take().unwrap_or_else(|| self.nodes.client(CallKind::Watch));
+        let request = self.watch_request(watch.has_view, wait);
+        watch.polls.make_room(self.max_polls());
+        watch.polls.send(client.address(), wait, async move {
+            let reply = client.call(request, wait + CALL_TIMEOUT).await;
+            (reply, client)
+        })
+    }
+
+    fn watch_request(&self, has_view: bool, wait: Duration) -> Request<Full<Bytes>> {
         let known: Vec<String> = self.documents.borrow().keys().map(ToString::to_string).collect();
         let known = known.join(",");
-        let (path, timeout) = if has_view {
+        let path = if has_view {
             let since = self.state.borrow().announced().revision;
-            let wait_ms = WATCH_WAIT.as_millis();
-            let path = format!("/v1/agreed?since={since}&timeout_ms={wait_ms}&have={known}");
-            (path, WATCH_WAIT + REPLY_TIMEOUT)
+            format!("/v1/agreed?since={since}&timeout_ms={}&have={known}", wait.as_millis())
         } else {
-            (format!("/v1/agreed?have={known}"), REPLY_TIMEOUT)
+            format!("/v1/agreed?have={known}")
         };
         let request = Request::get(path).header("host", "list").body(Full::new(Bytes::new()));
-        (request.unwrap_or_default(), timeout)
+        request.unwrap_or_default()
+    }
+
+    /// Applies the view in a reply; returns whether there is one and it ends the other polls. A view without news of a
+    /// node that is behind does not.
+    fn accept(&self, watch: &mut Watch, sent: &SentCall, ended: EndedPoll) -> bool {
+        let (reply, client) = ended;
+        let known_revision = self.state.borrow().announced().revision;
+        let is_applied =
+            reply.is_ok_and(|reply| reply.status() == StatusCode::OK && self.apply_view(reply.body()));
+        let is_news = self.state.borrow().announced().revision > known_revision;
+        if !is_applied || (!is_news && watch.behind.is_some_and(|behind| sent.id <= behind)) {
+            return false;
+        }
+        watch.answered(sent, client);
+        self.nodes.select(CallKind::Watch, sent.address);
+        true
+    }
+
+    /// Moves on to the next node, and waits before its poll, unless a late poll returns a view or the service moves.
+    async fn back_off(&self, watch: &mut Watch) {
+        self.nodes.advance(CallKind::Watch);
+        let backoff = watch.backoff.next_wait(&mut *self.rng.borrow_mut());
+        let next_at = (Instant::now() + backoff).max(watch.polls.room_at(self.max_polls()));
+        loop {
+            let (sent, ended) = tokio::select! {
+                biased; // a reply that has arrived is used
+                ended = watch.polls.next() => ended,
+                () = self.watch_moved.notified() => {
+                    *watch = Watch::new(watch.has_view);
+                    return;
+                }
+                () = tokio::time::sleep_until(next_at) => return,
+            };
+            if self.accept(watch, &sent, ended) {
+                return;
+            }
+        }
     }
 
     /// Applies a node's view of the agreement; returns whether it could be read and is complete.
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -64,6 +64,11 @@
         Self { address, connection: None }
     }
 
+    /// The address that calls are made to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Makes one call and returns the reply with its complete body.
     ///
     /// # Errors
--- a/src/lease/holder/mod.rs
+++ b/src/lease/holder/mod.rs
@@ -14,21 +14,28 @@
 pub use config::{HolderConfig, WarmDuty};
 
 use super::{Clock, Contender};
+use crate::http_client::CallError;
 use crate::os::signals::{SIGTERM, Signals};
+use crate::response_latency::AdaptiveTimeout;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use service::{AcquireReply, AcquireRequest, GrantRequest, RenewReply};
+use service::{AcquireReply, AcquireRequest, GrantRequest, RenewReply, ServiceError};
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// The maximum timeout of a call, for any TTL.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+use std::time::{Duration, Instant};
+
+/// The longest first timeout of a call to the list service, for any TTL.
+const MAX_FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The maximum timeout of a call to a list service that is slow, for any TTL.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The timeout of an act.
+const ACT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The backoff after the first failure of a list-service address.
 const MIN_BACKOFF: Duration = Duration::from_millis(20);
 /// The longest backoff.
@@ -45,6 +52,8 @@
     address_index: Cell<usize>,
     /// The backoff after the next failure.
     backoff: Cell<Duration>,
+    /// The timeout of calls to the list service.
+    call_timeout: RefCell<AdaptiveTimeout>,
     rng: RefCell<SmallRng>,
 }
 
@@ -52,12 +61,18 @@
     fn new(config: HolderConfig) -> Self {
         let seed =
             config.holder.bytes().fold(JITTER_SEED, |seed, byte| seed.rotate_left(5) ^ u64::from(byte));
+        // A renewal that takes up to half of the TTL still keeps the lease.
+        let call_timeout = AdaptiveTimeout::new(
+            config.renewal_interval().min(MAX_FIRST_CALL_TIMEOUT),
+            (config.ttl() / 2).min(MAX_CALL_TIMEOUT),
+        );
         Self {
             clock: Clock::start(config.clock_rate),
             config,
             contender: RefCell::new(Contender::default()),
             address_index: Cell::new(0),
             backoff: Cell::new(MIN_BACKOFF),
+            call_timeout: RefCell::new(call_timeout),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -66,8 +81,21 @@
         self.config.registry[self.address_index.get() % self.config.registry.len()]
     }
 
-    fn call_timeout(&self) -> Duration {
-        self.config.renewal_interval().min(MAX_CALL_TIMEOUT)
+    /// Makes a call to the list service, with a timeout that follows the latency of earlier ones.
+    async fn call<T, Call: Future<Output = Result<T, ServiceError>>>(
+        &self,
+        call: impl FnOnce(SocketAddr, Duration) -> Call,
+    ) -> Result<T, ServiceError> {
+        let (sent_at, timeout) = (Instant::now(), self.call_timeout.borrow().current());
+        let reply = call(self.address(), timeout).await;
+        match &reply {
+            Err(ServiceError::Call(CallError::Timeout)) => self.call_timeout.borrow_mut().timed_out(),
+            Err(ServiceError::Call(_)) => {}
+            Ok(_) | Err(ServiceError::Status { .. }) => {
+                self.call_timeout.borrow_mut().answered(sent_at.elapsed());
+            }
+        }
+        reply
     }
 
     /// A wait between `base / 2` and `base` ("equal jitter"), so that holders that failed together do not retry
@@ -116,7 +144,7 @@
         let config = &self.config;
         let number = self.contender.borrow_mut().begin_acquire(self.clock.now());
         let request = AcquireRequest { holder: &config.holder, name: &config.name, ttl_ms: config.ttl_ms };
-        let reply = match service::acquire(self.address(), &request, self.call_timeout()).await {
+        let reply = match self.call(|address, timeout| service::acquire(address, &request, timeout)).await {
             Ok(reply) => reply,
             Err(error) => return self.fail_over(&error),
         };
@@ -138,7 +166,7 @@
         let sent_at = self.clock.now();
         let name = &self.config.name;
         let request = GrantRequest { name, token };
-        let reply = match service::renew(self.address(), &request, self.call_timeout()).await {
+        let reply = match self.call(|address, timeout| service::renew(address, &request, timeout)).await {
             Ok(reply) => reply,
             Err(error) => return self.fail_over(&error),
         };
@@ -167,7 +195,7 @@
                 .header("x-holder", self.config.holder.as_str())
                 .body(Full::new(Bytes::new()))
                 .unwrap_or_default();
-            match service::call(duty.target, request, MAX_CALL_TIMEOUT).await {
+            match service::call(duty.target, request, ACT_TIMEOUT).await {
                 Ok(reply) if reply.status == StatusCode::CONFLICT => {
                     tracing::warn!(name = %self.config.name, token, "act rejected as stale; duty relinquished");
                     self.contender.borrow_mut().lost(token);
@@ -182,7 +210,8 @@
     async fn release(&self) {
         let Some(token) = self.contender.borrow_mut().relinquish() else { return };
         let request = GrantRequest { name: &self.config.name, token };
-        if let Err(error) = service::release(self.address(), &request, self.call_timeout()).await {
+        let released = self.call(|address, timeout| service::release(address, &request, timeout)).await;
+        if let Err(error) = released {
             tracing::warn!(%error, token, "releasing the lease failed; it expires after its TTL");
         }
     }
--- a/src/lease/holder/service.rs
+++ b/src/lease/holder/service.rs
@@ -122,8 +122,9 @@
     address: SocketAddr,
     request: &GrantRequest<'_>,
     timeout: Duration,
-) -> Result<(), CallError> {
-    call(address, post(address, "/v1/lease/release", request)?, timeout).await.map(drop)
+) -> Result<(), ServiceError> {
+    call(address, post(address, "/v1/lease/release", request)?, timeout).await?;
+    Ok(())
 }
 
 fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> Result<Request<Full<Bytes>>, CallError> {
--- a/src/response_latency.rs
+++ b/src/response_latency.rs
@@ -4,6 +4,8 @@
 
 /// The timeout is this multiple of the estimated latency, so that usual variation does not exceed it.
 const TIMEOUT_FACTOR: f64 = 1.5;
+/// The maximum number of times that an [`AdaptiveTimeout`] doubles.
+const MAX_DOUBLINGS: u32 = 8;
 
 /// An estimate of the time that a service takes for a response, without the time for which a call asks it to wait. It
 /// follows an increase at once, and halves with each response that is faster.
@@ -25,6 +27,41 @@
 
     /// The timeout of the next response, at least `min` and at most `max`.
     pub fn timeout(&self, min: Duration, max: Duration) -> Duration {
-        self.estimate.mul_f64(TIMEOUT_FACTOR).clamp(min, max)
+        self.estimate.mul_f64(TIMEOUT_FACTOR).min(max).max(min)
+    }
+}
+
+/// The timeout of calls that are made one after another. It follows the observed latency, and doubles with each call in
+/// a row that was not answered in time, so that the responses of a service that is slow each time arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct AdaptiveTimeout {
+    min: Duration,
+    max: Duration,
+    latency: ResponseLatency,
+    /// The number of calls in a row that were not answered in time.
+    timeouts: u32,
+}
+
+impl AdaptiveTimeout {
+    /// A timeout between `min` and `max`, first `min`.
+    pub fn new(min: Duration, max: Duration) -> Self {
+        Self { min, max, latency: ResponseLatency::default(), timeouts: 0 }
+    }
+
+    /// The timeout of the next call.
+    pub fn current(&self) -> Duration {
+        let timeout = self.latency.timeout(self.min, self.max);
+        timeout.saturating_mul(1 << self.timeouts.min(MAX_DOUBLINGS)).min(self.max)
+    }
+
+    /// Records a response that arrived `elapsed` after its call was sent.
+    pub fn answered(&mut self, elapsed: Duration) {
+        self.latency.observe(elapsed, Duration::ZERO);
+        self.timeouts = 0;
+    }
+
+    /// Records a call that was not answered in time.
+    pub fn timed_out(&mut self) {
+        self.timeouts = self.timeouts.saturating_add(1);
     }
 }
--- a/tests/follower_calls.rs
+++ b/tests/follower_calls.rs
@@ -3,25 +3,21 @@
 
 #[path = "golden/compare.rs"]
 mod compare;
+mod scripted_service;
 
-use bytes::Bytes;
 use compare::assert_golden;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use linkhatch_proxy::agreement::document::{Document, DocumentError};
 use linkhatch_proxy::agreement::follower::{AppliedAgreement, Follower, FollowerConfig, Owner};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 
 /// Long enough that nothing expires during the test.
 const TTL: Duration = Duration::from_secs(60);
@@ -69,28 +65,11 @@
 }
 
 async fn serve(service: Rc<Service>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    spawn_local(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { return };
-            let service = service.clone();
-            spawn_local(async move {
-                let answer = service_fn(|request| {
-                    let service = service.clone();
-                    async move {
-                        let (status, body) = service.answer(request).await;
-                        let body = Full::new(Bytes::from(body.to_string()));
-                        let answer = Response::builder().status(status).body(body).expect("an answer");
-                        Ok::<_, Infallible>(answer)
-                    }
-                });
-                let connection = hyper::server::conn::http1::Builder::new();
-                let _ = connection.serve_connection(TokioIo::new(stream), answer).await;
-            });
-        }
-    });
-    address
+    scripted_service::serve(move |request| {
+        let service = service.clone();
+        async move { service.answer(request).await }
+    })
+    .await
 }
 
 /// A proxy that can apply at most four attempts.
