Read the answers of late polls that were written before an older one arrived

An answer without news ended all other polls, also a later one whose answer with a change was on its way. Discovery had written the change, so it counted as told, and the proxy read it only with its next poll.

Change: once a poll is answered, the others stay in flight for as long as discovery may take to answer, and count only if their revision is higher.

--- a/src/calls_in_flight.rs
+++ b/src/calls_in_flight.rs
@@ -1,9 +1,9 @@
 //! Calls to a service that are in flight at the same time: the newest, and earlier ones that are late.
 //!
 //! A client that gives up a late call before it makes the next one never hears from a service that is slow each time.
-//! Here a late call stays in flight beside the next one, which may go to another node. The first response that can be
-//! used ends all calls, so none of them outlives its use. The number of calls is limited, and the oldest one always
-//! stays, so that even a response that takes longer than the time between several calls arrives.
+//! Here a late call stays in flight beside the next one, which may go to another node. The number of calls is limited,
+//! and the oldest one always stays, so that even a response that takes longer than the time between several calls
+//! arrives. Once one is answered, the client ends the others, at once or when they may be replaced.
 
 use std::fmt;
 use std::future::Future;
@@ -117,6 +117,17 @@
         }
     }
 
+    /// The newest call in flight.
+    pub fn newest(&self) -> Option<CallId> {
+        self.calls.last().map(|call| call.sent.id)
+    }
+
+    /// Ends the calls up to `last` that may be replaced by now.
+    pub fn end_replaceable(&mut self, last: CallId) {
+        let now = Instant::now();
+        self.calls.retain(|call| call.sent.id > last || call.sent.replaceable_at() > now);
+    }
+
     /// Ends all calls.
     pub fn clear(&mut self) {
         self.calls.clear();
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -7,9 +7,9 @@
 //! the last list stays in use.
 //!
 //! A poll that is late may have been lost, so another one is sent; but discovery may also be slow, so the late one stays
-//! in flight beside it ([`CallsInFlight`](crate::calls_in_flight::CallsInFlight)). All polls in flight ask for the
-//! changes since the same revision, and the first list that arrives ends the others, so that an old response cannot be
-//! applied after a newer one. All of them are ended when the addresses of discovery change.
+//! in flight beside it ([`CallsInFlight`](crate::calls_in_flight::CallsInFlight)). Once a poll is answered, the others
+//! count only if they bring a newer revision, so that an old response cannot be applied after a newer one: changes since
+//! an earlier revision contain those since the known one. All polls are ended when the addresses of discovery change.
 
 mod client;
 mod nodes;
--- a/src/proxy/discovery/watch.rs
+++ b/src/proxy/discovery/watch.rs
@@ -55,8 +55,9 @@
     latency: ResponseLatency,
     /// Whether discovery has not answered this watch yet.
     is_unanswered: bool,
-    /// The newest poll that was in flight when the node that it was sent to was behind.
-    behind: Option<CallId>,
+    /// The newest poll that was in flight when another one was answered, or when its node was behind. Up to this one,
+    /// the responses of polls count only if they have news.
+    superseded: Option<CallId>,
 }
 
 impl Watch {
@@ -68,17 +69,18 @@
             late_polls: 0,
             latency: ResponseLatency::default(),
             is_unanswered: true,
-            behind: None,
+            superseded: None,
         }
     }
 
-    /// Records a response; it ends all other polls.
+    /// Records a response. The other polls stay in flight for as long as discovery may take to answer, because a
+    /// change counts as told once discovery has written it.
     fn answered(&mut self, sent: &SentCall, connection: Option<UpstreamConnection>) {
-        self.polls.clear();
+        self.superseded = self.polls.newest().max(self.superseded);
         self.latency.observe(sent.sent_at.elapsed(), sent.wait);
         self.connection = connection;
         (self.failures, self.late_polls) = (0, 0);
-        (self.is_unanswered, self.behind) = (false, None);
+        self.is_unanswered = false;
     }
 }
 
@@ -136,7 +138,7 @@
                 () = self.node_is_behind.notified() => {
                     if self.has_room(watch) {
                         watch.failures += 1;
-                        watch.behind = Some(newest.id);
+                        watch.superseded = Some(newest.id);
                         return PollResult::Behind;
                     }
                     continue;
@@ -149,8 +151,8 @@
                 }
             };
             match self.accept(watch, &sent, response) {
-                Ok(()) if watch.failures == 0 => return PollResult::Answered,
-                Ok(()) => {} // an answer of a node that is behind
+                Ok(true) => return PollResult::Answered,
+                Ok(false) => {}
                 Err(error) => {
                     report_failure(&error, watch.failures, sent.sent_at.elapsed());
                     if sent.id == newest.id {
@@ -166,6 +168,9 @@
     /// Sends a poll to the current node.
     fn send_poll(&self, watch: &mut Watch, wait: Duration) -> SentCall {
         let address = self.nodes.address();
+        if let Some(superseded) = watch.superseded {
+            watch.polls.end_replaceable(superseded);
+        }
         watch.polls.make_room(self.max_polls());
         let response = poll(address, self.generation.get(), wait, watch.connection.take());
         watch.polls.send(address, wait, response)
@@ -181,25 +186,25 @@
         watch.polls.room_at(self.max_polls()) <= Instant::now()
     }
 
-    /// Applies the response to a poll, unless it has no news and is of a node that is behind.
+    /// Applies the response to a poll; returns false if it does not count, as the poll is superseded and has no news.
     fn accept(
         &self,
         watch: &mut Watch,
         sent: &SentCall,
         response: Result<PollResponse, PollError>,
-    ) -> Result<(), PollError> {
+    ) -> Result<bool, PollError> {
         let PollResponse { body, connection } = response?;
         let list = self.parse_list(&body)?;
         metrics::count(CountedEvent::PollEnded(PollOutcome::Answered));
-        let is_news = list.generation != self.generation.get();
-        if !is_news && watch.behind.is_some_and(|behind| sent.id <= behind) {
-            return Ok(());
+        let is_superseded = watch.superseded.is_some_and(|superseded| sent.id <= superseded);
+        if is_superseded && list.generation <= self.generation.get() {
+            return Ok(false);
         }
         tracing::debug!(revision = list.generation, whole = list.reset, "endpoint list received");
         watch.answered(sent, connection);
         self.nodes.select(sent.address);
         self.apply(list);
-        Ok(())
+        Ok(true)
     }
 
     fn timing(&self, watch: &Watch) -> PollTiming {
@@ -267,8 +272,8 @@
                 () = &mut due => return,
             };
             match self.accept(watch, &sent, response) {
-                Ok(()) if watch.failures == 0 => return,
-                Ok(()) => {}
+                Ok(true) => return,
+                Ok(false) => {}
                 Err(error) => report_failure(&error, watch.failures, sent.sent_at.elapsed()),
             }
         }
