--- a/testbed/src/soak/discovery.rs
+++ b/testbed/src/soak/discovery.rs
@@ -2,9 +2,12 @@
 
 use super::ledger::{SharedLedger, Span, lock_ledger};
 use crate::http::{Conn, answer};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +32,9 @@
     entries: RefCell<Vec<Entry>>,
     generation: watch::Sender<u64>,
     is_silent: Cell<bool>,
+    /// By how many seconds each answer is late, if discovery is slow.
+    delays: RefCell<Option<RangeInclusive<f64>>>,
+    rng: RefCell<SmallRng>,
     /// Incremented to end all watches.
     resets: watch::Sender<u64>,
     ledger: SharedLedger,
@@ -42,12 +48,14 @@
 }
 
 impl Discovery {
-    /// A discovery with these entries, at generation 1.
-    pub fn new(entries: Vec<Entry>, ledger: SharedLedger) -> Rc<Self> {
+    /// A discovery with these entries, at generation 1; `seed` is that of the delays of its answers.
+    pub fn new(entries: Vec<Entry>, ledger: SharedLedger, seed: u64) -> Rc<Self> {
         Rc::new(Self {
             entries: RefCell::new(entries),
             generation: watch::channel(1).0,
             is_silent: Cell::new(false),
+            delays: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             resets: watch::channel(0).0,
             ledger,
         })
@@ -100,6 +108,18 @@
         self.resets.send_modify(|resets| *resets += u64::from(!is_silent));
     }
 
+    /// Makes each answer late by a time in seconds that is drawn from `delays`, or none.
+    pub fn set_delays(&self, delays: Option<RangeInclusive<f64>>) {
+        *self.delays.borrow_mut() = delays;
+    }
+
+    /// By how much the next answer is late.
+    fn draw_delay(&self) -> Duration {
+        let delays = self.delays.borrow();
+        let delay = delays.as_ref().map(|range| self.rng.borrow_mut().random_range(range.clone()));
+        Duration::from_secs_f64(delay.unwrap_or_default())
+    }
+
     /// Ends all watches.
     pub fn end_watches(&self) {
         self.resets.send_modify(|resets| *resets += 1);
@@ -151,14 +171,20 @@
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             };
-            tokio::select! {
-                () = next_answer => {}
+            // A slow answer has what was listed when it was made.
+            let late_list = async {
+                next_answer.await;
+                let list = self.list();
+                tokio::time::sleep(self.draw_delay()).await;
+                list
+            };
+            let list = tokio::select! {
+                list = late_list => list,
                 _ = resets.changed() => return,
-            }
+            };
             if is_retired.get() {
                 return;
             }
-            let list = self.list();
             let bytes = answer(200, "OK", "Content-Type: application/json\r\n", list.to_string().as_bytes());
             if conn.write(&bytes).await.is_err() {
                 return;
--- a/testbed/src/soak/inject.rs
+++ b/testbed/src/soak/inject.rs
@@ -106,9 +106,14 @@
                     world.discovery.set_silent(false);
                 });
             }
+            FaultKind::DiscoverySlow { min_delay, max_delay } => {
+                self.on_world(move |world| world.discovery.set_delays(Some(min_delay..=max_delay)));
+                std::thread::sleep(length);
+                self.on_world(|world| world.discovery.set_delays(None));
+            }
             FaultKind::DiscoveryResets => self.on_world(|world| world.discovery.end_watches()),
-            FaultKind::Drain { backend, count } => {
-                self.for_backends(backend, count, drain);
+            FaultKind::Drain { backend, count, still_serves } => {
+                self.for_backends(backend, count, move |world, n| drain(world, n, still_serves));
                 std::thread::sleep(length);
                 self.for_backends(backend, count, |world, n| {
                     world.discovery.change(n, |entry| entry.lifecycle = "DELETED");
@@ -172,8 +177,8 @@
     matches!(stream.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
 
-fn drain(world: &World, backend: usize) {
-    world.backends[backend].set_draining(true);
+fn drain(world: &World, backend: usize, still_serves: bool) {
+    world.backends[backend].set_draining(!still_serves);
     let generation = world.discovery.change(backend, |entry| entry.lifecycle = "DRAINING");
     lock_ledger(&world.ledger).drains.push(Drain {
         backend,
--- a/testbed/src/soak/plan.rs
+++ b/testbed/src/soak/plan.rs
@@ -25,6 +25,10 @@
     /// The limits of the proxies' processes; if given, each run has peers that stop in the middle of a request too.
     #[serde(default)]
     pub limits: Option<LimitRanges>,
+    /// The longest time by which each answer of discovery is late, in seconds; if given, each run has slow discovery and
+    /// backends that drain meanwhile.
+    #[serde(default)]
+    pub max_discovery_delay: Option<f64>,
 }
 
 /// The ranges that the limits of the proxies' processes are drawn from.
@@ -148,12 +152,22 @@
     DiscoveryDown,
     /// Discovery ends all watches.
     DiscoveryResets,
+    /// Each answer of discovery is late by a time that is drawn for it, from the shortest to the longest, in seconds.
+    DiscoverySlow {
+        /// The shortest delay.
+        min_delay: f64,
+        /// The longest delay.
+        max_delay: f64,
+    },
     /// Backends drain, and are deleted at the end.
     Drain {
         /// The first of the backends.
         backend: usize,
         /// The number of backends.
         count: usize,
+        /// Whether they serve new requests nevertheless, so that only the list tells that they drain.
+        #[serde(default)]
+        still_serves: bool,
     },
     /// A backend restarts in slow start.
     ColdStart {
@@ -290,6 +304,12 @@
 const CROWD_SIZES: [usize; 2] = [200, 600];
 /// Distinguishes the random numbers for limits from a plan's others.
 const LIMITS_SEED: u64 = 0x6c69_6d69_7473;
+/// Distinguishes the random numbers for slow discovery from a plan's others.
+const SLOW_DISCOVERY_SEED: u64 = 0x736c_6f77;
+/// When discovery becomes slow at the latest, as a fraction of the run.
+const MAX_SLOW_START: f64 = 0.2;
+/// Backends drain while discovery is slow after at most this time, in seconds.
+const MAX_DRAIN_DELAY_S: f64 = 2.5;
 /// At most one peer for this many descriptors stops in the middle of a request: clients may use a third.
 const PEERS_PER_DESCRIPTOR: usize = 3;
 /// The share of the plans whose stalled peers have sent a complete head.
@@ -335,9 +355,27 @@
         if let Some(ranges) = &spec.limits {
             plan.draw_limits(ranges, cluster_start);
         }
+        if let Some(max_delay) = spec.max_discovery_delay {
+            plan.draw_slow_discovery(max_delay);
+        }
         plan
     }
 
+    /// Draws discovery that is slow to the end of the run, and backends that drain meanwhile. The numbers are of their
+    /// own, so that a seed has the same other faults with slow discovery and without.
+    fn draw_slow_discovery(&mut self, longest: f64) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ SLOW_DISCOVERY_SEED);
+        let min_delay = rng.random_range(0.0..=longest);
+        let max_delay = rng.random_range(min_delay..=longest);
+        let slow_at = rng.random_range(0.0..MAX_SLOW_START) * self.seconds;
+        let slow = FaultKind::DiscoverySlow { min_delay, max_delay };
+        self.faults.push(Fault { at: slow_at, length: self.seconds - slow_at, kind: slow });
+        let drain_at = slow_at + rng.random_range(0.0..MAX_DRAIN_DELAY_S);
+        let backend = rng.random_range(0..self.backends);
+        let drain = FaultKind::Drain { backend, count: 1, still_serves: true };
+        self.faults.push(Fault { at: drain_at, length: self.seconds - drain_at, kind: drain });
+    }
+
     /// Draws the limits of the processes, and peers that stop in the middle of a request. The numbers are of their own,
     /// so that a seed has the same other faults with limits and without.
     fn draw_limits(&mut self, ranges: &LimitRanges, at: f64) {
@@ -385,7 +423,7 @@
             4 => FaultKind::Reload { proxy },
             5 => FaultKind::DiscoveryDown,
             6 => FaultKind::DiscoveryResets,
-            7 => FaultKind::Drain { backend, count: backend_count },
+            7 => FaultKind::Drain { backend, count: backend_count, still_serves: false },
             8 => FaultKind::ColdStart { backend },
             9 | 10 => {
                 let choices =
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -40,7 +40,7 @@
         backends.push(Backend::start(number, ledger.clone()).await?);
     }
     let entry = |b: &Rc<Backend>| Entry { address: b.address, lifecycle: "SERVING", started_ms: 0.0 };
-    let discovery = Discovery::new(backends.iter().map(entry).collect(), ledger.clone());
+    let discovery = Discovery::new(backends.iter().map(entry).collect(), ledger.clone(), plan.seed);
     let mut agents = Vec::new();
     for proxy in 0..plan.proxies {
         agents.push(discovery.start_agent(proxy).await?);
