Test that a dead node is left in time although the others are slow

A dead node beside slow ones is told from them only by the calls that go on to the others: failing over keeps its times, and each call lives long enough for an answer that is 2 s late.

--- a/tests/discovery/slow.rs
+++ b/tests/discovery/slow.rs
@@ -163,6 +163,39 @@
     }
 }
 
+/// Guards against a node that has died and hides behind the slowness of the others: failing over has to leave the time
+/// for a late answer. The dead one is the one in use, or the one that is tried next.
+#[tokio::test(start_paused = true)]
+async fn a_dead_node_is_left_in_time_although_the_others_are_slow() {
+    for setup in SETUPS.into_iter().filter(|setup| setup.node_count > 2) {
+        for delay in [millis(800), MAX_DELAY] {
+            for tried_next in [0, 1] {
+                for slow_for in [0, 20_000] {
+                    let local = LocalSet::new();
+                    let told = local.run_until(async {
+                        let (nodes, _discovery, notified) = start(setup, 11).await;
+                        nodes.head_delay.set(delay);
+                        tokio::time::sleep(millis(slow_for)).await;
+                        // The next poll at the node in use falls silent with it.
+                        let dead = (nodes.last_polled.get() + tried_next) % setup.node_count;
+                        nodes.behaviors[dead].set(PollBehavior::Hang);
+                        let polls = nodes.poll_count.get();
+                        while nodes.poll_count.get() == polls {
+                            tokio::time::sleep(millis(1)).await;
+                        }
+                        wait_for(&notified, nodes.change()).await
+                    });
+                    let told = told.await;
+                    assert!(
+                        told < NOTIFY_TIMEOUT,
+                        "{setup:?}, {delay:?}, next {tried_next}, slow for {slow_for} ms: {told:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a SIGHUP to a slow address: its answers have to arrive within the time limit of a reload.
 #[tokio::test(start_paused = true)]
 async fn a_slow_address_is_followed_in_time_after_a_move() {
