Ask a silent discovery again as soon as before; one place for the limits of late calls

What callers saw: the mend of slow discovery doubled the time between the polls of a single address that does not answer.

Change: no doubling. At most three calls more than nodes are in flight (two before), so that each lives for 2.2 s beyond its wait at the old times; where the balancer schedules polls, that is waited for as well. The agreement's watch and discovery's had the same constants, and the same shortening of the wait, written twice: they stand once in calls_in_flight.rs. connect() to discovery has no limit of its own any more; the poll's limit is the caller's. Unused methods are gone.

--- a/src/agreement/follower/watch.rs
+++ b/src/agreement/follower/watch.rs
@@ -8,7 +8,7 @@
 use crate::agreement::session_state::Announcement;
 use crate::agreement::state::Members;
 use crate::agreement::{AgreementView, SettingsView};
-use crate::calls_in_flight::{CallId, CallsInFlight, SentCall};
+use crate::calls_in_flight::{CALL_TIMEOUT, CallId, CallTiming, CallsInFlight, SentCall, max_calls};
 use crate::http_client::{CallError, HttpClient};
 use crate::response_latency::ResponseLatency;
 use bytes::Bytes;
@@ -21,16 +21,6 @@
 
 /// How long a poll waits for a change, and so how long an unresponsive node goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// The shortest such wait, at a service that is slow.
-const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
-/// How long a reply may take beyond the wait before it is late, as long as the service has not been slow.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
-/// The longest such time once the service has been slow.
-const MAX_REPLY_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// How long a reply may take beyond the wait before its poll is given up, whatever else is in flight.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// The maximum number of polls in flight, in addition to one for each node.
-const MAX_ADDITIONAL_CALLS: usize = 2;
 
 /// The end of a poll: its reply, and the client with the connection.
 type EndedPoll = (Result<Response<Bytes>, CallError>, HttpClient);
@@ -99,9 +89,11 @@
 
     /// Sends a poll, and waits until any poll in flight returns a view, or until the new one fails or is late.
     async fn poll_once(&self, watch: &mut Watch) -> PollResult {
-        let reply_timeout = watch.latency.timeout(REPLY_TIMEOUT, MAX_REPLY_TIMEOUT);
-        let newest = self.send_poll(watch, reply_timeout);
-        let mut late = pin!(tokio::time::sleep(newest.wait + reply_timeout));
+        // A poll waits once a first view was received.
+        let max_wait = if watch.has_view { WATCH_WAIT } else { Duration::ZERO };
+        let CallTiming { wait, response_timeout } = CallTiming::long_poll(&watch.latency, max_wait);
+        let newest = self.send_poll(watch, wait);
+        let mut late = pin!(tokio::time::sleep(wait + response_timeout));
         loop {
             let (sent, ended) = tokio::select! {
                 biased; // a reply that has arrived is used
@@ -116,7 +108,7 @@
                 }
                 () = &mut late => return PollResult::Failed,
             };
-            if self.accept(watch, &sent, ended) {
+            if self.apply_reply(watch, &sent, ended) {
                 return PollResult::Answered;
             }
             if sent.id == newest.id {
@@ -127,14 +119,11 @@
 
     /// The maximum number of polls in flight.
     fn max_polls(&self) -> usize {
-        self.nodes.count() + MAX_ADDITIONAL_CALLS
+        max_calls(self.nodes.count())
     }
 
-    /// Sends a poll to the current node; it is a long poll once a first view was received. Its wait gets shorter by what
-    /// the reply may take longer, so that an unresponsive node is noticed equally soon.
-    fn send_poll(&self, watch: &mut Watch, reply_timeout: Duration) -> SentCall {
-        let long_wait = WATCH_WAIT.saturating_sub(reply_timeout - REPLY_TIMEOUT).max(MIN_WATCH_WAIT);
-        let wait = if watch.has_view { long_wait } else { Duration::ZERO };
+    /// Sends a poll to the current node.
+    fn send_poll(&self, watch: &mut Watch, wait: Duration) -> SentCall {
         let mut client = watch.client.take().unwrap_or_else(|| self.nodes.client(CallKind::Watch));
         let request = self.watch_request(watch.has_view, wait);
         watch.polls.make_room(self.max_polls());
@@ -159,7 +148,7 @@
 
     /// Applies the view in a reply; returns whether there is one and it ends the other polls. A view without news of a
     /// node that is behind does not.
-    fn accept(&self, watch: &mut Watch, sent: &SentCall, ended: EndedPoll) -> bool {
+    fn apply_reply(&self, watch: &mut Watch, sent: &SentCall, ended: EndedPoll) -> bool {
         let (reply, client) = ended;
         let known_revision = self.state.borrow().announced().revision;
         let is_applied =
@@ -188,7 +177,7 @@
                 }
                 () = tokio::time::sleep_until(next_at) => return,
             };
-            if self.accept(watch, &sent, ended) {
+            if self.apply_reply(watch, &sent, ended) {
                 return;
             }
         }
--- a/src/calls_in_flight.rs
+++ b/src/calls_in_flight.rs
@@ -5,7 +5,7 @@
 //! and the oldest one always stays, so that even a response that takes longer than the time between several calls
 //! arrives. Once one is answered, the client ends the others, at once or when they may be replaced.
 
-use std::fmt;
+use crate::response_latency::ResponseLatency;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -13,8 +13,42 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a call stays in flight beyond its wait before another one may replace it: a service may take 2 s to answer.
-pub const MIN_CALL_DURATION: Duration = Duration::from_millis(2_200);
+/// How long a response may take beyond the wait of its call before it is late, as long as the service has not been slow.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// The longest such time once the service has been slow, and how long a call stays in flight beyond its wait before
+/// another one may replace it: a service may take 2 s to answer.
+pub const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_200);
+/// How long a response may take beyond the wait of its call before the call is given up, whatever else is in flight.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The shortest wait of a call. Such a call only requests the current state.
+pub const MIN_CALL_WAIT: Duration = Duration::from_millis(100);
+/// The maximum number of calls in flight, in addition to one for each node: as many as are sent at the usual intervals
+/// until one may be replaced.
+const MAX_ADDITIONAL_CALLS: usize = 3;
+
+/// The maximum number of calls in flight to a service with this many nodes.
+pub fn max_calls(node_count: usize) -> usize {
+    node_count + MAX_ADDITIONAL_CALLS
+}
+
+/// The times of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTiming {
+    /// How long the service waits for changes.
+    pub wait: Duration,
+    /// How long the response may take beyond that before it is late.
+    pub response_timeout: Duration,
+}
+
+impl CallTiming {
+    /// The times of a call that waits up to `max_wait` for changes, to a service that answers. The wait gets shorter by
+    /// what the response may take longer, so that a call that is lost is noticed equally soon.
+    pub fn long_poll(latency: &ResponseLatency, max_wait: Duration) -> Self {
+        let response_timeout = latency.timeout(RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT);
+        let wait = max_wait.saturating_sub(response_timeout - RESPONSE_TIMEOUT);
+        Self { wait: wait.max(MIN_CALL_WAIT.min(max_wait)), response_timeout }
+    }
+}
 
 /// The number of a call; a newer call has a higher one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,7 +70,7 @@
 impl SentCall {
     /// When another call may replace it.
     fn replaceable_at(&self) -> Instant {
-        self.sent_at + self.wait + MIN_CALL_DURATION
+        self.sent_at + self.wait + MAX_RESPONSE_TIMEOUT
     }
 }
 
@@ -58,23 +92,7 @@
     }
 }
 
-impl<T> fmt::Debug for CallsInFlight<T> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_list().entries(self.calls.iter().map(|call| call.sent)).finish()
-    }
-}
-
 impl<T> CallsInFlight<T> {
-    /// The number of calls in flight.
-    pub fn len(&self) -> usize {
-        self.calls.len()
-    }
-
-    /// Whether no call is in flight.
-    pub fn is_empty(&self) -> bool {
-        self.calls.is_empty()
-    }
-
     /// Adds a call to the node at `address`, which waits up to `wait` for changes; `response` sends it.
     pub fn send(
         &mut self,
--- a/src/proxy/discovery/client.rs
+++ b/src/proxy/discovery/client.rs
@@ -1,6 +1,7 @@
 //! One poll of discovery: a long-polling HTTP request for the changes since a revision.
 
 use super::Discovery;
+use crate::calls_in_flight::CALL_TIMEOUT;
 use crate::http_client::{BodyError, read_limited};
 use crate::proxy::endpoint_list::EndpointList;
 use crate::proxy::upstream::{self, UpstreamConnection};
@@ -11,8 +12,6 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// How long a poll may take beyond its wait before it is given up, whatever else is in flight.
-const POLL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The maximum size of a list, enough for some 6,000 backends. Once translated, a list needs six times as much memory,
 /// and a proxy may use 32 MB.
 const MAX_LIST_BYTES: usize = 1 << 20;
@@ -52,20 +51,18 @@
     connection: Option<UpstreamConnection>,
 ) -> Result<PollResponse, PollError> {
     let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
-    let timeout = wait + POLL_TIMEOUT;
-    let response = tokio::time::timeout(timeout, fetch(address, &path, timeout, connection)).await;
+    let response = tokio::time::timeout(wait + CALL_TIMEOUT, fetch(address, &path, connection)).await;
     response.unwrap_or(Err(PollError::Timeout))
 }
 
 async fn fetch(
     address: SocketAddr,
     path: &str,
-    connect_timeout: Duration,
     connection: Option<UpstreamConnection>,
 ) -> Result<PollResponse, PollError> {
     let mut upstream = match connection.and_then(|upstream| upstream.checked().ok()) {
         Some(upstream) => upstream,
-        None => upstream::connect(address, connect_timeout).await.map_err(PollError::Connect)?,
+        None => upstream::connect(address).await.map_err(PollError::Connect)?,
     };
     let request = Request::get(path).header("host", address.to_string());
     let Ok(request) = request.body(Full::new(Bytes::new())) else {
--- a/src/proxy/discovery/watch.rs
+++ b/src/proxy/discovery/watch.rs
@@ -2,7 +2,9 @@
 
 use super::Discovery;
 use super::client::{PollError, PollResponse, poll};
-use crate::calls_in_flight::{CallId, CallsInFlight, SentCall};
+use crate::calls_in_flight::{
+    CallId, CallTiming, CallsInFlight, MIN_CALL_WAIT, RESPONSE_TIMEOUT, SentCall, max_calls,
+};
 use crate::proxy::upstream::UpstreamConnection;
 use crate::proxy::watch_event::WatchEvent;
 use crate::response_latency::ResponseLatency;
@@ -15,19 +17,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a poll waits for changes while it is unknown whether discovery answers. It is short as such a poll only
-/// requests the current state.
-const SHORT_POLL_WAIT: Duration = Duration::from_millis(100);
-/// How long a poll may take beyond its wait before it is late, as long as discovery has not been slow.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
-/// The longest such time once discovery has been slow: it may take 2 s.
-const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// How long a poll with [`SHORT_POLL_WAIT`] may take beyond its wait before it is late, if there are other nodes.
+/// How long a poll may take beyond its wait before it is late while it is unknown whether discovery answers, if there are
+/// other nodes.
 const NODE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
-/// The maximum number of times that [`RESPONSE_TIMEOUT`] doubles while polls of a single address are late.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
-/// The maximum number of polls in flight, in addition to one for each node.
-const MAX_ADDITIONAL_POLLS: usize = 2;
 /// The first backoff if discovery has one address; it doubles with each failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest backoff if discovery has one address.
@@ -50,8 +42,6 @@
     connection: Option<UpstreamConnection>,
     /// The number of consecutive polls that failed or were late.
     failures: usize,
-    /// The number of consecutive polls that were late.
-    late_polls: u32,
     latency: ResponseLatency,
     /// Whether discovery has not answered this watch yet.
     is_unanswered: bool,
@@ -66,7 +56,6 @@
             polls: CallsInFlight::default(),
             connection: None,
             failures: 0,
-            late_polls: 0,
             latency: ResponseLatency::default(),
             is_unanswered: true,
             superseded: None,
@@ -79,19 +68,10 @@
         self.superseded = self.polls.newest().max(self.superseded);
         self.latency.observe(sent.sent_at.elapsed(), sent.wait);
         self.connection = connection;
-        (self.failures, self.late_polls) = (0, 0);
-        self.is_unanswered = false;
+        (self.failures, self.is_unanswered) = (0, false);
     }
 }
 
-/// The times of one poll.
-struct PollTiming {
-    /// How long discovery waits for changes.
-    wait: Duration,
-    /// How long the response may take beyond that before it is late.
-    response_timeout: Duration,
-}
-
 /// What a poll has led to.
 enum PollResult {
     /// A list was applied.
@@ -127,7 +107,7 @@
 
     /// Sends a poll, and waits until any poll in flight is answered, or until the new one fails or is late.
     async fn poll_once(&self, watch: &mut Watch) -> PollResult {
-        let PollTiming { wait, response_timeout } = self.timing(watch);
+        let CallTiming { wait, response_timeout } = self.timing(watch);
         let newest = self.send_poll(watch, wait);
         let mut late = pin!(tokio::time::sleep(wait + response_timeout));
         loop {
@@ -145,18 +125,16 @@
                 }
                 () = &mut late => {
                     report_late(watch.failures, newest.sent_at.elapsed());
-                    watch.late_polls += 1;
                     self.fail_over(watch);
                     return PollResult::Late;
                 }
             };
-            match self.accept(watch, &sent, response) {
+            match self.apply_response(watch, &sent, response) {
                 Ok(true) => return PollResult::Answered,
                 Ok(false) => {}
                 Err(error) => {
                     report_failure(&error, watch.failures, sent.sent_at.elapsed());
                     if sent.id == newest.id {
-                        watch.late_polls = 0;
                         self.fail_over(watch);
                         return PollResult::Failed;
                     }
@@ -178,7 +156,7 @@
 
     /// The maximum number of polls in flight.
     fn max_polls(&self) -> usize {
-        self.nodes.count() + MAX_ADDITIONAL_POLLS
+        max_calls(self.nodes.count())
     }
 
     /// Whether another poll may be sent now.
@@ -187,7 +165,7 @@
     }
 
     /// Applies the response to a poll; returns false if it does not count, as the poll is superseded and has no news.
-    fn accept(
+    fn apply_response(
         &self,
         watch: &mut Watch,
         sent: &SentCall,
@@ -207,22 +185,16 @@
         Ok(true)
     }
 
-    fn timing(&self, watch: &Watch) -> PollTiming {
-        let short_wait = SHORT_POLL_WAIT.min(self.poll_wait);
+    fn timing(&self, watch: &Watch) -> CallTiming {
         if !watch.is_unanswered && watch.failures == 0 {
-            let response_timeout = watch.latency.timeout(RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT);
-            // The wait gets shorter by what the response may take longer, so that a lost poll is noticed equally soon.
-            let wait = self.poll_wait.saturating_sub(response_timeout - RESPONSE_TIMEOUT).max(short_wait);
-            return PollTiming { wait, response_timeout };
+            return CallTiming::long_poll(&watch.latency, self.poll_wait);
         }
         let response_timeout = match (self.nodes.is_cluster(), self.is_scheduled) {
             (true, _) => NODE_RESPONSE_TIMEOUT,
             (false, true) => self.queued_response_timeout,
-            (false, false) => {
-                RESPONSE_TIMEOUT * (1 << watch.late_polls.saturating_sub(1).min(MAX_TIMEOUT_DOUBLINGS))
-            }
+            (false, false) => RESPONSE_TIMEOUT,
         };
-        PollTiming { wait: short_wait, response_timeout }
+        CallTiming { wait: MIN_CALL_WAIT.min(self.poll_wait), response_timeout }
     }
 
     /// Counts a failed or late poll, and selects the next node if there are several.
@@ -240,11 +212,15 @@
             // The watch waits before the balancer is notified, which may want a poll at once.
             self.awaits_schedule.set(true);
             self.engine.apply_watch_event(WatchEvent::PollFailed);
-            return self.wait_for_schedule(watch).await;
+            self.wait_for_schedule(watch).await;
+        } else {
+            let backoff = self.backoff(watch.failures, started_at.elapsed());
+            self.wait_for(watch, tokio::time::sleep(backoff)).await;
+        }
+        if watch.failures > 0 && !self.has_room(watch) {
+            let room_at = watch.polls.room_at(self.max_polls());
+            self.wait_for(watch, tokio::time::sleep_until(room_at)).await;
         }
-        let backoff = self.backoff(watch.failures, started_at.elapsed());
-        let next_at = (Instant::now() + backoff).max(watch.polls.room_at(self.max_polls()));
-        self.wait_for(watch, tokio::time::sleep_until(next_at)).await;
     }
 
     /// Waits until the balancer wants a poll.
@@ -271,7 +247,7 @@
                 }
                 () = &mut due => return,
             };
-            match self.accept(watch, &sent, response) {
+            match self.apply_response(watch, &sent, response) {
                 Ok(true) => return,
                 Ok(false) => {}
                 Err(error) => report_failure(&error, watch.failures, sent.sent_at.elapsed()),
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -45,13 +45,12 @@
 /// The error of a request that was not sent or failed. It contains the request if none of it was written.
 pub type SendError = TrySendError<Request<Full<Bytes>>>;
 
-/// Opens a connection to discovery, whose responses use any amount of memory.
+/// Opens a connection to discovery, whose responses use any amount of memory. The caller limits the time.
 ///
 /// # Errors
-/// The system's error, or a timeout.
-pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<UpstreamConnection> {
-    let stream = tokio::time::timeout(timeout, sockets::connect(address)).await??;
-    start(SharedStream::new(stream)).await
+/// The system's error.
+pub async fn connect(address: SocketAddr) -> io::Result<UpstreamConnection> {
+    start(SharedStream::new(sockets::connect(address).await?)).await
 }
 
 /// Opens a connection to a backend, whose responses use the memory of `responses`.
