--- a/src/agreement/follower/mod.rs
+++ b/src/agreement/follower/mod.rs
@@ -119,7 +119,10 @@
             session_call_due: Notify::new(),
             watch_moved: Notify::new(),
             watch_is_behind: Notify::new(),
-            session_timeout: RefCell::new(session::call_timeout(config.ttl)),
+            session_timeout: RefCell::new(AdaptiveTimeout::for_renewals(
+                config.ttl,
+                session::renewal_interval(config.ttl),
+            )),
             last_refused: Cell::new(0),
             is_closed: Cell::new(false),
             rng: RefCell::new(rng),
--- a/src/agreement/follower/session.rs
+++ b/src/agreement/follower/session.rs
@@ -6,7 +6,6 @@
 use crate::agreement::session_state::UnappliedRenewal;
 use crate::agreement::state::{Renewal, RequiredRevisions};
 use crate::http_client::{CallError, HttpClient, post_json};
-use crate::response_latency::AdaptiveTimeout;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
@@ -14,10 +13,6 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// The longest first timeout of a call of the session, for any TTL.
-const MAX_FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// The maximum timeout of a call of the session at a service that is slow, for any TTL.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout of the close of a session when its proxy shuts down.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -53,17 +48,10 @@
 }
 
 /// How often a session with this TTL is renewed.
-fn renewal_interval(ttl: Duration) -> Duration {
+pub(super) fn renewal_interval(ttl: Duration) -> Duration {
     ttl / 3
 }
 
-/// The timeout of the calls of a session with this TTL. A renewal that takes up to half of the TTL still keeps the
-/// session.
-pub(super) fn call_timeout(ttl: Duration) -> AdaptiveTimeout {
-    let first = renewal_interval(ttl).min(MAX_FIRST_CALL_TIMEOUT);
-    AdaptiveTimeout::new(first, (ttl / 2).min(MAX_CALL_TIMEOUT))
-}
-
 impl Follower {
     /// Relinquishes the session, which detaches the proxy at once, and tries to close it at the service within
     /// [`CLOSE_TIMEOUT`].
--- a/src/lease/holder/mod.rs
+++ b/src/lease/holder/mod.rs
@@ -30,10 +30,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The longest first timeout of a call to the list service, for any TTL.
-const MAX_FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// The maximum timeout of a call to a list service that is slow, for any TTL.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout of an act.
 const ACT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The backoff after the first failure of a list-service address.
@@ -61,11 +57,7 @@
     fn new(config: HolderConfig) -> Self {
         let seed =
             config.holder.bytes().fold(JITTER_SEED, |seed, byte| seed.rotate_left(5) ^ u64::from(byte));
-        // A renewal that takes up to half of the TTL still keeps the lease.
-        let call_timeout = AdaptiveTimeout::new(
-            config.renewal_interval().min(MAX_FIRST_CALL_TIMEOUT),
-            (config.ttl() / 2).min(MAX_CALL_TIMEOUT),
-        );
+        let call_timeout = AdaptiveTimeout::for_renewals(config.ttl(), config.renewal_interval());
         Self {
             clock: Clock::start(config.clock_rate),
             config,
--- a/src/response_latency.rs
+++ b/src/response_latency.rs
@@ -6,6 +6,10 @@
 const TIMEOUT_FACTOR: f64 = 1.5;
 /// The maximum number of times that an [`AdaptiveTimeout`] doubles.
 const MAX_DOUBLINGS: u32 = 8;
+/// The longest first timeout of a renewal, for any TTL.
+const MAX_FIRST_RENEWAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest timeout of a renewal, for any TTL.
+const MAX_RENEWAL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// An estimate of the time that a service takes for a response, without the time for which a call asks it to wait. It
 /// follows an increase at once, and halves with each response that is faster.
@@ -48,6 +52,12 @@
         Self { min, max, latency: ResponseLatency::default(), timeouts: 0 }
     }
 
+    /// The timeout of the calls that keep a lease or a session with this TTL. Renewals follow one another, so one that
+    /// takes less than half of the holder's validity is followed by another in time; half of the TTL is more than that.
+    pub fn for_renewals(ttl: Duration, renewal_interval: Duration) -> Self {
+        Self::new(renewal_interval.min(MAX_FIRST_RENEWAL_TIMEOUT), (ttl / 2).min(MAX_RENEWAL_TIMEOUT))
+    }
+
     /// The timeout of the next call.
     pub fn current(&self) -> Duration {
         let timeout = self.latency.timeout(self.min, self.max);
--- a/src/telemetry/reason.rs
+++ b/src/telemetry/reason.rs
@@ -119,7 +119,7 @@
     Failed,
     /// It was cancelled because discovery has moved.
     Moved,
-    /// It is late: another one is sent, and it stays in flight until one of them is answered.
+    /// It is late, and another one is sent. It stays in flight, and its end is counted too.
     Late,
 }
 
