Write the set-up of the discovery tests once

No assertion, bound or seed has changed. The soak's slow discovery drains one backend, and its text says so now.

--- a/testbed/src/soak/plan.rs
+++ b/testbed/src/soak/plan.rs
@@ -26,7 +26,7 @@
     #[serde(default)]
     pub limits: Option<LimitRanges>,
     /// The longest time by which each answer of discovery is late, in seconds; if given, each run has slow discovery and
-    /// backends that drain meanwhile.
+    /// a backend that drains meanwhile.
     #[serde(default)]
     pub max_discovery_delay: Option<f64>,
 }
@@ -308,7 +308,7 @@
 const SLOW_DISCOVERY_SEED: u64 = 0x736c_6f77;
 /// When discovery becomes slow at the latest, as a fraction of the run.
 const MAX_SLOW_START: f64 = 0.2;
-/// Backends drain while discovery is slow after at most this time, in seconds.
+/// A backend begins to drain at most this long after discovery became slow, in seconds.
 const MAX_DRAIN_DELAY_S: f64 = 2.5;
 /// At most one peer for this many descriptors stops in the middle of a request: clients may use a third.
 const PEERS_PER_DESCRIPTOR: usize = 3;
@@ -361,12 +361,12 @@
         plan
     }
 
-    /// Draws discovery that is slow to the end of the run, and backends that drain meanwhile. The numbers are of their
-    /// own, so that a seed has the same other faults with slow discovery and without.
-    fn draw_slow_discovery(&mut self, longest: f64) {
+    /// Draws discovery that is slow to the end of the run, by up to `longest_delay` seconds, and a backend that drains
+    /// meanwhile. The numbers are of their own, so that a seed has the same other faults with slow discovery and without.
+    fn draw_slow_discovery(&mut self, longest_delay: f64) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ SLOW_DISCOVERY_SEED);
-        let min_delay = rng.random_range(0.0..=longest);
-        let max_delay = rng.random_range(min_delay..=longest);
+        let min_delay = rng.random_range(0.0..=longest_delay);
+        let max_delay = rng.random_range(min_delay..=longest_delay);
         let slow_at = rng.random_range(0.0..MAX_SLOW_START) * self.seconds;
         let slow = FaultKind::DiscoverySlow { min_delay, max_delay };
         self.faults.push(Fault { at: slow_at, length: self.seconds - slow_at, kind: slow });
--- a/tests/discovery/main.rs
+++ b/tests/discovery/main.rs
@@ -8,9 +8,8 @@
 use linkhatch_proxy::proxy::settings::ProxySettings;
 use linkhatch_proxy::proxy::watch_event::{ListedEndpoint, WatchEvent};
 use linkhatch_proxy::{BackendId, Class, EndpointEntry, EndpointStatus, Settings};
-use nodes::{Nodes, PollBehavior, start_client, wait_for};
+use nodes::{Nodes, PollBehavior, run_local, start_client, wait_for};
 use std::time::Duration;
-use tokio::task::LocalSet;
 
 /// The proxy must be notified of a change within this time after discovery can be reached.
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(6);
@@ -29,20 +28,17 @@
         vec![Truncate, Truncate, Truncate],
         vec![Hang, Close, Close, Reject, Hang, Close],
     ] {
-        let local = LocalSet::new();
-        let elapsed = local.run_until(async {
+        let elapsed = run_local(async {
             let nodes = Nodes::start(1).await;
             let (_discovery, notified) = start_client(&nodes.addresses, false, 1);
             wait_for(&notified, 1).await;
             // The poll in flight waits for changes; the next ones use `failures`.
             let poll_count = nodes.poll_count.get();
             *nodes.next_behaviors.borrow_mut() = failures.iter().rev().copied().collect();
-            while nodes.poll_count.get() == poll_count {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            nodes.wait_for_poll_after(poll_count).await;
             wait_for(&notified, nodes.change()).await
-        });
-        let elapsed = elapsed.await;
+        })
+        .await;
         assert!(elapsed < NOTIFY_TIMEOUT, "{failures:?}: {elapsed:?}");
     }
 }
@@ -52,8 +48,7 @@
 async fn the_only_node_that_answers_is_found_in_time() {
     for polls_discovery in [false, true] {
         for count in [3, 7] {
-            let local = LocalSet::new();
-            let elapsed = local.run_until(async {
+            let elapsed = run_local(async {
                 let nodes = Nodes::start(count).await;
                 let (_discovery, notified) = start_client(&nodes.addresses, polls_discovery, 1);
                 wait_for(&notified, 1).await;
@@ -67,8 +62,8 @@
                 tokio::time::sleep(Duration::from_secs(2)).await;
                 nodes.generation.set(generation);
                 wait_for(&notified, generation).await
-            });
-            let elapsed = elapsed.await;
+            })
+            .await;
             assert!(
                 elapsed < NOTIFY_TIMEOUT,
                 "{count} nodes, polls_discovery {polls_discovery}: {elapsed:?}"
@@ -83,8 +78,7 @@
     for outage in [PollBehavior::Reject, PollBehavior::Close, PollBehavior::Hang] {
         for next in [PollBehavior::Answer, PollBehavior::Reject, PollBehavior::Hang] {
             for seed in 0..5 {
-                let local = LocalSet::new();
-                let elapsed = local.run_until(async {
+                let elapsed = run_local(async {
                     let nodes = Nodes::start(1).await;
                     let (_discovery, notified) = start_client(&nodes.addresses, true, seed);
                     wait_for(&notified, 1).await;
@@ -96,8 +90,8 @@
                         nodes.next_behaviors.borrow_mut().push(next);
                     }
                     wait_for(&notified, nodes.change()).await
-                });
-                let elapsed = elapsed.await;
+                })
+                .await;
                 assert!(elapsed < NOTIFY_TIMEOUT, "{outage:?}, then {next:?}, seed {seed}: {elapsed:?}");
             }
         }
@@ -116,14 +110,13 @@
             PollBehavior::Hang,
         ] {
             for seed in 0..10 {
-                let local = LocalSet::new();
-                let elapsed = local.run_until(async {
+                let elapsed = run_local(async {
                     let nodes = Nodes::start(1).await;
                     nodes.next_behaviors.borrow_mut().push(first);
                     let (_discovery, notified) = start_client(&nodes.addresses, polls_discovery, seed);
                     wait_for(&notified, 1).await
-                });
-                let elapsed = elapsed.await;
+                })
+                .await;
                 assert!(
                     elapsed < NOTIFY_TIMEOUT,
                     "polls_discovery {polls_discovery}, {first:?} first, seed {seed}: {elapsed:?}"
@@ -139,26 +132,25 @@
     for polls_discovery in [false, true] {
         for old_behavior in [PollBehavior::Answer, PollBehavior::Hang, PollBehavior::Reject] {
             for first in [PollBehavior::Answer, PollBehavior::Hang] {
-                let (elapsed, late_polls) = LocalSet::new()
-                    .run_until(async {
-                        let (old, new) = (Nodes::start(1).await, Nodes::start(1).await);
-                        let (discovery, notified) = start_client(&old.addresses, polls_discovery, 3);
-                        wait_for(&notified, 1).await;
-                        old.behaviors[0].set(old_behavior);
-                        tokio::time::sleep(Duration::from_millis(11_300)).await;
-                        new.next_behaviors.borrow_mut().push(first);
-                        new.generation.set(9);
-                        discovery.move_to(new.addresses.clone());
-                        let elapsed = wait_for(&notified, 9).await;
-                        let poll_count = old.poll_count.get();
-                        // The old address must not be polled any more.
-                        old.behaviors[0].set(PollBehavior::Answer);
-                        old.generation.set(50);
-                        tokio::time::sleep(Duration::from_secs(10)).await;
-                        assert_eq!(notified.get(), 9);
-                        (elapsed, old.poll_count.get() - poll_count)
-                    })
-                    .await;
+                let (elapsed, late_polls) = run_local(async {
+                    let (old, new) = (Nodes::start(1).await, Nodes::start(1).await);
+                    let (discovery, notified) = start_client(&old.addresses, polls_discovery, 3);
+                    wait_for(&notified, 1).await;
+                    old.behaviors[0].set(old_behavior);
+                    tokio::time::sleep(Duration::from_millis(11_300)).await;
+                    new.next_behaviors.borrow_mut().push(first);
+                    new.generation.set(9);
+                    discovery.move_to(new.addresses.clone());
+                    let elapsed = wait_for(&notified, 9).await;
+                    let poll_count = old.poll_count.get();
+                    // The old address must not be polled any more.
+                    old.behaviors[0].set(PollBehavior::Answer);
+                    old.generation.set(50);
+                    tokio::time::sleep(Duration::from_secs(10)).await;
+                    assert_eq!(notified.get(), 9);
+                    (elapsed, old.poll_count.get() - poll_count)
+                })
+                .await;
                 assert!(
                     elapsed < MOVE_TIMEOUT,
                     "polls_discovery {polls_discovery}, {old_behavior:?}, {first:?}: {elapsed:?}"
@@ -172,8 +164,7 @@
 /// Backends are added and removed for as long as the proxy runs, so the state of removed ones must be released.
 #[tokio::test(start_paused = true)]
 async fn state_of_removed_backends_is_released() {
-    let local = LocalSet::new();
-    let known = local.run_until(async {
+    let known = run_local(async {
         let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
         let engine = Engine::start(settings, &ProxySettings::default(), 1, 8);
         let address = "127.0.0.1:9".parse().unwrap();
@@ -201,8 +192,7 @@
 /// rejects requests.
 #[tokio::test(start_paused = true)]
 async fn a_list_without_a_backend_in_service_makes_the_proxy_ready() {
-    let local = LocalSet::new();
-    let ready = local.run_until(async {
+    let ready = run_local(async {
         let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
         let engine = Engine::start(settings, &ProxySettings::default(), 1, 8);
         let draining = EndpointEntry { status: EndpointStatus::Draining, ..EndpointEntry::default() };
--- a/tests/discovery/nodes.rs
+++ b/tests/discovery/nodes.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
 use tokio::time::Instant;
 
 /// A test fails if a change has not arrived after this time.
@@ -147,6 +148,13 @@
         }
     }
 
+    /// Waits until there was another poll after the first `count`.
+    pub async fn wait_for_poll_after(&self, count: usize) {
+        while self.poll_count.get() == count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Changes the list; returns its new generation.
     pub fn change(&self) -> u64 {
         self.generation.set(self.generation.get() + 1);
@@ -182,6 +190,11 @@
     (discovery, notified)
 }
 
+/// Runs a part of a test on a `LocalSet` of its own, whose tasks end with it.
+pub async fn run_local<T>(part: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(part).await
+}
+
 /// Waits for the notification of a generation; returns the elapsed time.
 pub async fn wait_for(notified: &Cell<u64>, generation: u64) -> Duration {
     let started_at = Instant::now();
--- a/tests/discovery/slow.rs
+++ b/tests/discovery/slow.rs
@@ -1,7 +1,7 @@
 //! Discovery that is slow: each of its answers is late, but none is lost. A slow service is not a silent one, so a proxy
 //! has to be notified of each change in time.
 
-use super::nodes::{Nodes, PollBehavior, start_client, wait_for};
+use super::nodes::{Nodes, PollBehavior, run_local, start_client, wait_for};
 use super::{MOVE_TIMEOUT, NOTIFY_TIMEOUT};
 use linkhatch_proxy::proxy::discovery::Discovery;
 use rand::rngs::SmallRng;
@@ -9,7 +9,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::LocalSet;
 
 /// The longest that an answer may be late: 2 s after the wait of its poll.
 const MAX_DELAY: Duration = Duration::from_secs(2);
@@ -70,14 +69,13 @@
             for delay in [millis(500), millis(800), millis(1_000), millis(1_500), MAX_DELAY] {
                 // The change comes at each moment of a poll and of the failures that it may cause.
                 for quiet in (0..24).map(|step| millis(250 * step)) {
-                    let local = LocalSet::new();
-                    let told = local.run_until(async {
+                    let told = run_local(async {
                         let (nodes, _discovery, notified) = start(setup, 5).await;
                         part.delay(&nodes, delay);
                         tokio::time::sleep(quiet).await;
                         wait_for(&notified, nodes.change()).await
-                    });
-                    let told = told.await;
+                    })
+                    .await;
                     assert!(
                         told < NOTIFY_TIMEOUT,
                         "{setup:?}, {part:?}, {delay:?} after {quiet:?}: {told:?}"
@@ -94,14 +92,13 @@
     for setup in SETUPS {
         for part in [SlowPart::Head, SlowPart::Body] {
             for seed in 0..5 {
-                let local = LocalSet::new();
-                let told = local.run_until(async {
+                let told = run_local(async {
                     let nodes = Nodes::start(setup.node_count).await;
                     part.delay(&nodes, MAX_DELAY);
                     let (_discovery, notified) = start_client(&nodes.addresses, setup.polls_discovery, seed);
                     wait_for(&notified, 1).await
-                });
-                let told = told.await;
+                })
+                .await;
                 assert!(told < NOTIFY_TIMEOUT, "{setup:?}, {part:?}, seed {seed}: {told:?}");
             }
         }
@@ -113,8 +110,7 @@
 async fn changes_arrive_in_time_although_answers_are_late_by_varying_times() {
     for setup in SETUPS {
         for seed in 0..5 {
-            let local = LocalSet::new();
-            let slowest = local.run_until(async {
+            let slowest = run_local(async {
                 let mut rng = SmallRng::seed_from_u64(seed);
                 let (nodes, _discovery, notified) = start(setup, seed).await;
                 let delayed = nodes.clone();
@@ -131,8 +127,8 @@
                     slowest = slowest.max(wait_for(&notified, nodes.change()).await);
                 }
                 slowest
-            });
-            let slowest = slowest.await;
+            })
+            .await;
             assert!(slowest < NOTIFY_TIMEOUT, "{setup:?}, seed {seed}: {slowest:?}");
         }
     }
@@ -144,19 +140,16 @@
     for setup in SETUPS {
         for delay in [millis(1_000), MAX_DELAY] {
             for seed in 0..5 {
-                let local = LocalSet::new();
-                let told = local.run_until(async {
+                let told = run_local(async {
                     let (nodes, _discovery, notified) = start(setup, seed).await;
                     nodes.head_delay.set(delay);
                     tokio::time::sleep(Duration::from_secs(20)).await;
                     let polls = nodes.poll_count.get();
                     nodes.next_behaviors.borrow_mut().push(PollBehavior::Hang);
-                    while nodes.poll_count.get() == polls {
-                        tokio::time::sleep(millis(1)).await;
-                    }
+                    nodes.wait_for_poll_after(polls).await;
                     wait_for(&notified, nodes.change()).await
-                });
-                let told = told.await;
+                })
+                .await;
                 assert!(told < NOTIFY_TIMEOUT, "{setup:?}, {delay:?}, seed {seed}: {told:?}");
             }
         }
@@ -171,8 +164,7 @@
         for delay in [millis(800), MAX_DELAY] {
             for tried_next in [0, 1] {
                 for slow_for in [0, 20_000] {
-                    let local = LocalSet::new();
-                    let told = local.run_until(async {
+                    let told = run_local(async {
                         let (nodes, _discovery, notified) = start(setup, 11).await;
                         nodes.head_delay.set(delay);
                         tokio::time::sleep(millis(slow_for)).await;
@@ -180,12 +172,10 @@
                         let dead = (nodes.last_polled.get() + tried_next) % setup.node_count;
                         nodes.behaviors[dead].set(PollBehavior::Hang);
                         let polls = nodes.poll_count.get();
-                        while nodes.poll_count.get() == polls {
-                            tokio::time::sleep(millis(1)).await;
-                        }
+                        nodes.wait_for_poll_after(polls).await;
                         wait_for(&notified, nodes.change()).await
-                    });
-                    let told = told.await;
+                    })
+                    .await;
                     assert!(
                         told < NOTIFY_TIMEOUT,
                         "{setup:?}, {delay:?}, next {tried_next}, slow for {slow_for} ms: {told:?}"
@@ -202,8 +192,7 @@
     for setup in SETUPS {
         for part in [SlowPart::Head, SlowPart::Body] {
             for waited in [0, 1_300, 2_900] {
-                let local = LocalSet::new();
-                let told = local.run_until(async {
+                let told = run_local(async {
                     let (_old, discovery, notified) = start(setup, 3).await;
                     let new = Nodes::start(setup.node_count).await;
                     part.delay(&new, MAX_DELAY);
@@ -211,8 +200,8 @@
                     tokio::time::sleep(millis(waited)).await;
                     discovery.move_to(new.addresses.clone());
                     wait_for(&notified, 9).await
-                });
-                let told = told.await;
+                })
+                .await;
                 assert!(told < MOVE_TIMEOUT, "{setup:?}, {part:?} after {waited} ms: {told:?}");
             }
         }
@@ -225,21 +214,19 @@
 async fn a_slow_node_gets_no_more_polls_than_a_fast_one() {
     for setup in SETUPS {
         for delay in [millis(700), millis(1_000), MAX_DELAY] {
-            let local = LocalSet::new();
-            let (polls, connections) = local
-                .run_until(async {
-                    let (nodes, _discovery, _notified) = start(setup, 2).await;
-                    nodes.head_delay.set(delay);
-                    tokio::time::sleep(Duration::from_secs(10)).await;
-                    let before = nodes.poll_count.get();
-                    let mut connections = 0;
-                    for _ in 0..400 {
-                        tokio::time::sleep(millis(50)).await;
-                        connections = connections.max(nodes.open_connections.get());
-                    }
-                    (nodes.poll_count.get() - before, connections)
-                })
-                .await;
+            let (polls, connections) = run_local(async {
+                let (nodes, _discovery, _notified) = start(setup, 2).await;
+                nodes.head_delay.set(delay);
+                tokio::time::sleep(Duration::from_secs(10)).await;
+                let before = nodes.poll_count.get();
+                let mut connections = 0;
+                for _ in 0..400 {
+                    tokio::time::sleep(millis(50)).await;
+                    connections = connections.max(nodes.open_connections.get());
+                }
+                (nodes.poll_count.get() - before, connections)
+            })
+            .await;
             // 20 s with one poll each 2 s, and the one that was in flight.
             assert!(polls <= 11, "{setup:?}, {delay:?}: {polls} polls in 20 s");
             assert_eq!(connections, 1, "{setup:?}, {delay:?}");
@@ -252,22 +239,20 @@
 #[tokio::test(start_paused = true)]
 async fn polls_that_hang_hold_few_connections_and_release_them() {
     for setup in SETUPS {
-        let local = LocalSet::new();
-        let (most, released) = local
-            .run_until(async {
-                let (nodes, _discovery, notified) = start(setup, 4).await;
-                nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Hang));
-                let mut most = 0;
-                for _ in 0..1_200 {
-                    tokio::time::sleep(millis(50)).await;
-                    most = most.max(nodes.open_connections.get());
-                }
-                nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Answer));
-                wait_for(&notified, nodes.change()).await;
-                tokio::time::sleep(RELEASE_TIMEOUT).await;
-                (most, nodes.open_connections.get())
-            })
-            .await;
+        let (most, released) = run_local(async {
+            let (nodes, _discovery, notified) = start(setup, 4).await;
+            nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Hang));
+            let mut most = 0;
+            for _ in 0..1_200 {
+                tokio::time::sleep(millis(50)).await;
+                most = most.max(nodes.open_connections.get());
+            }
+            nodes.behaviors.iter().for_each(|behavior| behavior.set(PollBehavior::Answer));
+            wait_for(&notified, nodes.change()).await;
+            tokio::time::sleep(RELEASE_TIMEOUT).await;
+            (most, nodes.open_connections.get())
+        })
+        .await;
         assert!(most <= setup.node_count + 3, "{setup:?}: {most} connections");
         assert_eq!(released, 1, "{setup:?}");
     }
@@ -278,14 +263,13 @@
 async fn answers_that_are_later_than_allowed_arrive_too() {
     for setup in SETUPS {
         for delay in [Duration::from_secs(4), Duration::from_secs(8)] {
-            let local = LocalSet::new();
-            let told = local.run_until(async {
+            let told = run_local(async {
                 let (nodes, _discovery, notified) = start(setup, 6).await;
                 nodes.head_delay.set(delay);
                 tokio::time::sleep(Duration::from_secs(3)).await;
                 wait_for(&notified, nodes.change()).await
-            });
-            let told = told.await;
+            })
+            .await;
             assert!(told < 3 * delay, "{setup:?}, {delay:?}: {told:?}");
         }
     }
@@ -295,8 +279,7 @@
 #[tokio::test(start_paused = true)]
 async fn requests_for_the_next_node_leave_slow_nodes_the_time_to_answer() {
     for every in [millis(100), millis(400), millis(1_000)] {
-        let local = LocalSet::new();
-        let told = local.run_until(async {
+        let told = run_local(async {
             let setup = Setup { node_count: 3, polls_discovery: false };
             let (nodes, discovery, notified) = start(setup, 7).await;
             nodes.head_delay.set(MAX_DELAY);
@@ -309,8 +292,8 @@
                 }
             });
             wait_for(&notified, generation).await
-        });
-        let told = told.await;
+        })
+        .await;
         assert!(told < NOTIFY_TIMEOUT, "every {every:?}: {told:?}");
     }
 }
@@ -322,8 +305,7 @@
     for setup in SETUPS {
         for delay in [millis(800), millis(1_500), MAX_DELAY] {
             for quiet in (0..40).map(|step| millis(100 * step)) {
-                let local = LocalSet::new();
-                let late = local.run_until(async {
+                let late = run_local(async {
                     let (nodes, _discovery, notified) = start(setup, 8).await;
                     nodes.head_delay.set(delay);
                     tokio::time::sleep(quiet).await;
@@ -332,8 +314,8 @@
                         tokio::time::sleep(millis(1)).await;
                     }
                     wait_for(&notified, generation).await
-                });
-                let late = late.await;
+                })
+                .await;
                 assert!(
                     late < millis(20),
                     "{setup:?}, {delay:?} after {quiet:?}: {late:?} after it was told"
@@ -347,8 +329,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_late_response_does_not_bring_back_an_old_list() {
     for setup in SETUPS {
-        let local = LocalSet::new();
-        let applied = local.run_until(async {
+        let applied = run_local(async {
             let (nodes, discovery, _notified) = start(setup, 9).await;
             let applied: Rc<RefCell<Vec<u64>>> = Rc::default();
             let record = applied.clone();
@@ -360,8 +341,8 @@
             nodes.change();
             tokio::time::sleep(Duration::from_secs(6)).await;
             applied.take()
-        });
-        let applied = applied.await;
+        })
+        .await;
         assert!(applied.is_sorted() && applied.ends_with(&[2]), "{setup:?}: {applied:?}");
     }
 }
@@ -371,16 +352,15 @@
 #[tokio::test(start_paused = true)]
 async fn discovery_that_returns_from_silence_is_asked_within_a_second() {
     for silent_for in (0..20).map(|step| millis(30_000 + 70 * step)) {
-        let local = LocalSet::new();
-        let told = local.run_until(async {
+        let told = run_local(async {
             let setup = Setup { node_count: 1, polls_discovery: false };
             let (nodes, _discovery, notified) = start(setup, 12).await;
             nodes.behaviors[0].set(PollBehavior::Hang);
             tokio::time::sleep(silent_for).await;
             nodes.behaviors[0].set(PollBehavior::Answer);
             wait_for(&notified, nodes.change()).await
-        });
-        let told = told.await;
+        })
+        .await;
         assert!(told < Duration::from_secs(1), "silent for {silent_for:?}: {told:?}");
     }
 }
