Test drains over slow links to a real list-service node

A node answers with the changes alone, where the stand-in of tests/discovery has whole lists; one proxy has one address, the other two. Answers are 1.6 s late.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod node_connections;
 mod replicated;
 mod slow_disk;
+mod slow_list_service;
 mod system_calls;
 mod telemetry;
 mod upgrade;
